--- /dev/null
+++ b/src/app/ActiveRequests.cpp
@@ -0,0 +1,30 @@
+/*
+ * Part app: tokens of requests in flight.
+ */
+#include "app/ActiveRequests.h"
+
+namespace magnoliaspan {
+
+ActiveRequests::ActiveRequests(ServingController &serving)
+    : state_(std::make_shared<State>(State{&serving}))
+{
+}
+
+std::shared_ptr<void> ActiveRequests::begin()
+{
+    ++state_->count;
+    state_->serving->requestsInFlight(state_->count);
+    return {nullptr, [weak = std::weak_ptr<State>(state_)](void *) {
+                if (const auto state = weak.lock()) {
+                    --state->count;
+                    state->serving->requestsInFlight(state->count);
+                }
+            }};
+}
+
+std::size_t ActiveRequests::count() const
+{
+    return state_->count;
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/app/CallerService.cpp
@@ -0,0 +1,163 @@
+/*
+ * Part app: from a caller's bytes to an operation and back.
+ */
+#include "app/CallerService.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace magnoliaspan {
+
+namespace {
+
+constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusMethodNotAllowed = 405;
+constexpr unsigned statusUnsupportedType = 415;
+constexpr std::string_view problemType = "application/problem+json";
+// Time kept for the answer's way back to the caller.
+constexpr Duration maxAnswerReserve = std::chrono::milliseconds(5);
+constexpr int answerReserveParts = 20;
+
+ServiceReply problem(const Refusal &refusal, std::string_view requestId)
+{
+    return {refusal.status, std::string(problemType), encodeProblem(refusal, requestId), false};
+}
+
+bool isRequestId(std::string_view text)
+{
+    return text.size() <= CallerLimits::maxRequestIdBytes
+           && std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c <= '~' && c != '"' && c != '='; });
+}
+
+std::optional<Refusal> checkForm(const ServiceRequest &request)
+{
+    const bool known = request.target == "/v1/search" || request.target == "/v1/submit";
+    if (!known) {
+        return Refusal{statusNotFound, "unknown_path", "expected /v1/search or /v1/submit", Verdict::NotRun};
+    }
+    if (request.method != "POST") {
+        return Refusal{statusMethodNotAllowed, "method_not_allowed", "expected POST", Verdict::NotRun};
+    }
+    const std::string_view type(request.contentType);
+    if (type.substr(0, type.find(';')) != "application/json") {
+        return Refusal{statusUnsupportedType, "unsupported_type", "expected content type application/json", Verdict::NotRun};
+    }
+    if (!isRequestId(request.requestId)) {
+        return Refusal{statusBadRequest, "malformed_request", "X-Request-Id is not 1 to 64 printable characters", Verdict::NotRun};
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+CallerService::CallerService(RequestServices &services,
+                             FilterChain &filters,
+                             SubmitRouter &submits,
+                             ActiveRequests &active,
+                             std::string zone)
+    : services_(services)
+    , filters_(filters)
+    , submits_(submits)
+    , active_(active)
+    , zone_(std::move(zone))
+{
+}
+
+Service::Abandon CallerService::handle(ServiceRequest request, ReplyHandler handler)
+{
+    if (const auto refusal = checkForm(request)) {
+        handler(problem(*refusal, ""));
+        return {};
+    }
+    const std::string requestId = request.requestId.empty() ? fmt::format("{}-{}", services_.seat, ++lastRequest_) : request.requestId;
+    return request.target == "/v1/search" ? search(request, requestId, std::move(handler)) : submit(request, requestId, std::move(handler));
+}
+
+std::optional<Refusal>
+CallerService::admit(std::string_view system, std::string_view content, std::optional<Duration> timeout, std::string_view requestId)
+{
+    const auto refusal = filters_.check({system, content, timeout, zone_});
+    if (refusal) {
+        services_.counters.add(fmt::format("magnoliaspan_refusals_total{{code=\"{}\"}}", refusal->code));
+        services_.journal.note(
+            Part::Admit, requestId, fmt::format("request refused code={} verdict={}", refusal->code, toString(refusal->verdict)));
+    }
+    return refusal;
+}
+
+TimePoint CallerService::deadlineOf(std::string_view system, std::optional<Duration> timeout) const
+{
+    const SystemSpec &spec = *services_.configuration.current()->findSystem(system);
+    const Duration whole = std::min(timeout.value_or(spec.hardDeadline), spec.hardDeadline);
+    return services_.clock.now() + whole - std::min(maxAnswerReserve, whole / answerReserveParts);
+}
+
+Service::Abandon CallerService::search(const ServiceRequest &request, const std::string &requestId, ReplyHandler handler)
+{
+    auto parsed = parseSearchQuery(request.body, requestId);
+    if (const auto *refusal = std::get_if<Refusal>(&parsed)) {
+        handler(problem(*refusal, requestId));
+        return {};
+    }
+    auto &query = std::get<SearchQuery>(parsed);
+    if (const auto refusal = admit(query.system, query.text, query.timeout, requestId)) {
+        handler(problem(*refusal, requestId));
+        return {};
+    }
+    const TimePoint deadline = deadlineOf(query.system, query.timeout);
+    const std::uint64_t number = ++lastSearch_;
+    auto finished = [this, number, requestId, token = active_.begin(), handler = std::move(handler)](const SearchResult &result) {
+        const auto operation = searches_.extract(number);
+        if (const auto *refusal = std::get_if<Refusal>(&result)) {
+            handler(problem(*refusal, requestId));
+            return;
+        }
+        handler({200, "application/json", encode(std::get<SearchAnswer>(result)), false});
+    };
+    auto operation = std::make_shared<SearchOperation>(services_, std::move(query), deadline, std::move(finished));
+    searches_.emplace(number, operation);
+    operation->start();
+    return [this, number] {
+        const auto found = searches_.find(number);
+        if (found != searches_.end()) {
+            const auto abandoned = std::move(found->second);
+            searches_.erase(found);
+            abandoned->abandon();
+        }
+    };
+}
+
+Service::Abandon CallerService::submit(const ServiceRequest &request, const std::string &requestId, ReplyHandler handler)
+{
+    auto parsed = parseSubmitCall(request.body, requestId, request.idempotencyKey);
+    if (const auto *refusal = std::get_if<Refusal>(&parsed)) {
+        handler(problem(*refusal, requestId));
+        return {};
+    }
+    auto &call = std::get<SubmitCall>(parsed);
+    const auto key = IdempotencyKey::parse(request.idempotencyKey);
+    if (!key) {
+        const Refusal refusal{statusBadRequest, "malformed_key", "Idempotency-Key is not ISSUE_TIME_IN_UNIX_MS-TOKEN", Verdict::NotRun};
+        handler(problem(refusal, requestId));
+        return {};
+    }
+    call.key = key->text;
+    if (auto refusal = admit(call.system, call.payload, call.timeout, requestId)) {
+        refusal->verdict = call.refusedBeforeHome();
+        handler(problem(*refusal, requestId));
+        return {};
+    }
+    const TimePoint deadline = deadlineOf(call.system, call.timeout);
+    submits_.submit(
+        std::move(call), *key, deadline, [requestId, token = active_.begin(), handler = std::move(handler)](const SubmitResult &result) {
+            if (result.code.empty()) {
+                handler({result.status, "application/json", encode(result, requestId), false});
+                return;
+            }
+            handler(problem({result.status, result.code, result.detail, result.verdict}, requestId));
+        });
+    return {};
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/app/CallerService.h
@@ -0,0 +1,43 @@
+/*
+ * Part app: the callers' port: searches and submits.
+ */
+#pragma once
+
+#include "app/ActiveRequests.h"
+#include "app/SubmitRouter.h"
+#include "request/FilterChain.h"
+#include "request/SearchOperation.h"
+#include "request/Service.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace magnoliaspan {
+
+/// \brief Answers POST /v1/search and POST /v1/submit.
+class CallerService : public Service
+{
+public:
+    CallerService(RequestServices &services, FilterChain &filters, SubmitRouter &submits, ActiveRequests &active, std::string zone);
+
+    Abandon handle(ServiceRequest request, ReplyHandler handler) override;
+
+private:
+    Abandon search(const ServiceRequest &request, const std::string &requestId, ReplyHandler handler);
+    Abandon submit(const ServiceRequest &request, const std::string &requestId, ReplyHandler handler);
+    std::optional<Refusal>
+    admit(std::string_view system, std::string_view content, std::optional<Duration> timeout, std::string_view requestId);
+    TimePoint deadlineOf(std::string_view system, std::optional<Duration> timeout) const;
+
+    RequestServices &services_;
+    FilterChain &filters_;
+    SubmitRouter &submits_;
+    ActiveRequests &active_;
+    std::string zone_;
+    std::uint64_t lastRequest_ = 0;
+    std::map<std::uint64_t, std::shared_ptr<SearchOperation>> searches_; // Those that run.
+    std::uint64_t lastSearch_ = 0;
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/app/EntryHost.cpp
@@ -0,0 +1,231 @@
+/*
+ * Part app: the wiring of an entry host.
+ */
+#include "app/EntryHost.h"
+
+#include <fmt/format.h>
+
+namespace magnoliaspan {
+
+namespace {
+
+constexpr Duration tickInterval = std::chrono::milliseconds(20);
+constexpr Duration linkTickInterval = std::chrono::milliseconds(200);
+
+} // namespace
+
+EntryHost::EntryHost(const EntryHostEnvironment &environment, Settings settings)
+    : settings_(std::move(settings))
+    , clock_(environment.clock)
+    , scheduler_(environment.scheduler)
+    , journal_(environment.clock, environment.logSink, settings_.journalLines)
+    , configuration_(environment.clock, journal_, counters_, settings_.environment)
+    , membership_(environment.clock, journal_)
+    , pause_(environment.clock.now())
+    , serving_(environment.clock, environment.scheduler, journal_, settings_.shutdownAnnounce, settings_.shutdownLimit)
+    , quarantine_(environment.clock, journal_, counters_)
+    , targets_(linkEnvironment(environment), settings_.seat, settings_.zone, environment.seed)
+    , platform_(environment.clock, environment.scheduler, environment.platform, configuration_, membership_, pause_, environment.seed + 1)
+    , authenticator_(environment.clock, settings_.peerKey, environment.seed + 2)
+    , services_(requestServices())
+    , filters_(services_, serving_)
+    , active_(serving_)
+    , submits_(services_, environment.clock.wallNow())
+    , callers_(services_, filters_, submits_, active_, settings_.zone)
+    , peerRequests_(services_,
+                    filters_,
+                    submits_,
+                    active_,
+                    authenticator_,
+                    settings_.zone,
+                    [](const std::string &) { return std::string("{}"); })
+    , alive_(std::make_shared<int>(0))
+{
+    connectControllers();
+}
+
+EntryHost::~EntryHost()
+{
+    scheduler_.cancel(tickTimer_);
+}
+
+LinkEnvironment EntryHost::linkEnvironment(const EntryHostEnvironment &environment)
+{
+    return {environment.clock, environment.scheduler, environment.transport, journal_, counters_, [this] { capacityFreed(); }};
+}
+
+RequestServices EntryHost::requestServices()
+{
+    return {clock_,
+            scheduler_,
+            journal_,
+            counters_,
+            configuration_,
+            targets_,
+            systems_,
+            quarantine_,
+            pause_,
+            settings_.seat,
+            [this](std::string_view path, std::string_view body) { return authenticator_.sign(path, body); },
+            [this] { return ++lastOperation_; }};
+}
+
+void EntryHost::connectControllers()
+{
+    configuration_.onAccepted([this](const EnvironmentDocument &document) {
+        systems_.apply(document);
+        targets_.apply(document);
+        submits_.apply(document);
+        serving_.configurationAccepted();
+        capacityFreed();
+    });
+    membership_.onChange([this](const MembershipReading &reading) { targets_.apply(reading); });
+}
+
+void EntryHost::start()
+{
+    journal_.note(Part::Config,
+                  "",
+                  fmt::format("entry host started seat={} zone={} environment={}", settings_.seat, settings_.zone, settings_.environment));
+    platform_.start();
+    scheduleTick();
+}
+
+void EntryHost::stop()
+{
+    serving_.stop();
+}
+
+void EntryHost::scheduleTick()
+{
+    tickTimer_ = scheduler_.callAt(clock_.now() + tickInterval, [this] {
+        tick();
+        scheduleTick();
+    });
+}
+
+void EntryHost::tick()
+{
+    const TimePoint now = clock_.now();
+    if (pause_.observe(now)) {
+        journal_.note(Part::Pause, "", "process was paused, new work waits for a reading");
+        platform_.refresh();
+    }
+    if (now >= nextLinkTick_) {
+        nextLinkTick_ = now + linkTickInterval;
+        targets_.tick();
+    }
+    systems_.serveWaiters();
+}
+
+void EntryHost::capacityFreed()
+{
+    if (pumpScheduled_) {
+        return;
+    }
+    pumpScheduled_ = true;
+    scheduler_.callAt(clock_.now(), [this, alive = std::weak_ptr<int>(alive_)] {
+        if (!alive.expired()) {
+            serveWaiters();
+        }
+    });
+}
+
+void EntryHost::serveWaiters()
+{
+    pumpScheduled_ = false;
+    systems_.serveWaiters();
+}
+
+CallerService &EntryHost::callers()
+{
+    return callers_;
+}
+
+PeerService &EntryHost::peerRequests()
+{
+    return peerRequests_;
+}
+
+bool EntryHost::ready() const
+{
+    return notReadyReason().empty();
+}
+
+std::string EntryHost::notReadyReason() const
+{
+    if (!serving_.ready()) {
+        return fmt::format("stage is {}", toString(serving_.stage()));
+    }
+    if (!configuration_.current()->zoneTakesWork(settings_.zone)) {
+        return fmt::format("zone '{}' is taken out", settings_.zone);
+    }
+    return "";
+}
+
+const Settings &EntryHost::settings() const
+{
+    return settings_;
+}
+
+const Clock &EntryHost::clock() const
+{
+    return clock_;
+}
+
+ServingController &EntryHost::serving()
+{
+    return serving_;
+}
+
+const ConfigurationController &EntryHost::configuration() const
+{
+    return configuration_;
+}
+
+const MembershipController &EntryHost::membership() const
+{
+    return membership_;
+}
+
+const PlatformWatcher &EntryHost::platform() const
+{
+    return platform_;
+}
+
+const TargetController &EntryHost::targets() const
+{
+    return targets_;
+}
+
+const QuarantineController &EntryHost::quarantine() const
+{
+    return quarantine_;
+}
+
+const PauseDetector &EntryHost::pause() const
+{
+    return pause_;
+}
+
+const SubmitRouter &EntryHost::submits() const
+{
+    return submits_;
+}
+
+const Counters &EntryHost::counters() const
+{
+    return counters_;
+}
+
+const Journal &EntryHost::journal() const
+{
+    return journal_;
+}
+
+std::size_t EntryHost::requestsInFlight() const
+{
+    return active_.count();
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/app/EntryHost.h
@@ -0,0 +1,107 @@
+/*
+ * Part app: one entry host: its controllers, its services and how they are connected.
+ * It does no I/O of its own, so that it runs alike on Asio and on a manual clock.
+ */
+#pragma once
+
+#include "app/ActiveRequests.h"
+#include "app/CallerService.h"
+#include "app/PeerService.h"
+#include "app/SubmitRouter.h"
+#include "config/Settings.h"
+#include "control/PlatformWatcher.h"
+#include "control/ServingController.h"
+#include "peer/PeerAuthenticator.h"
+#include "request/FilterChain.h"
+#include "request/RequestServices.h"
+
+#include <memory>
+#include <string>
+
+namespace magnoliaspan {
+
+/// \brief What an entry host needs from outside; outlives it.
+struct EntryHostEnvironment {
+    const Clock &clock;
+    Scheduler &scheduler;
+    Transport &transport;
+    PlatformSource &platform;
+    Journal::Sink logSink;
+    std::uint64_t seed = 0; ///< Of all random choices.
+};
+
+/// \brief An entry host without its sockets.
+class EntryHost
+{
+public:
+    EntryHost(const EntryHostEnvironment &environment, Settings settings);
+    ~EntryHost();
+    EntryHost(const EntryHost &) = delete;
+    EntryHost &operator=(const EntryHost &) = delete;
+
+    /// \brief Begins to read the platform.
+    void start();
+
+    /// \brief Begins the graceful end; \sa ServingController::stop.
+    void stop();
+
+    CallerService &callers();
+    PeerService &peerRequests();
+
+    /// \returns whether the balancer should send callers here.
+    bool ready() const;
+
+    /// \returns why ready() is false; empty when it is true.
+    std::string notReadyReason() const;
+
+    const Settings &settings() const;
+    const Clock &clock() const;
+    ServingController &serving();
+    const ConfigurationController &configuration() const;
+    const MembershipController &membership() const;
+    const PlatformWatcher &platform() const;
+    const TargetController &targets() const;
+    const QuarantineController &quarantine() const;
+    const PauseDetector &pause() const;
+    const SubmitRouter &submits() const;
+    const Counters &counters() const;
+    const Journal &journal() const;
+    std::size_t requestsInFlight() const;
+
+private:
+    LinkEnvironment linkEnvironment(const EntryHostEnvironment &environment);
+    RequestServices requestServices();
+    void connectControllers();
+    void tick();
+    void scheduleTick();
+    void capacityFreed();
+    void serveWaiters();
+
+    Settings settings_;
+    const Clock &clock_;
+    Scheduler &scheduler_;
+    Journal journal_;
+    Counters counters_;
+    ConfigurationController configuration_;
+    MembershipController membership_;
+    PauseDetector pause_;
+    ServingController serving_;
+    QuarantineController quarantine_;
+    SystemController systems_;
+    TargetController targets_;
+    PlatformWatcher platform_;
+    PeerAuthenticator authenticator_;
+    std::uint64_t lastOperation_ = 0;
+    RequestServices services_;
+    FilterChain filters_;
+    ActiveRequests active_;
+    SubmitRouter submits_;
+    CallerService callers_;
+    PeerService peerRequests_;
+    TimerId tickTimer_ = TimerId::None;
+    TimePoint nextLinkTick_{};
+    bool pumpScheduled_ = false; // Whether serveWaiters() is about to run.
+    std::shared_ptr<int> alive_; // Handlers hold it weakly, so that none outlives the host.
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/app/PeerService.h
@@ -0,0 +1,54 @@
+/*
+ * Part app: the port for other entry hosts: work for this zone's targets, and
+ * submits whose key has its home here.
+ */
+#pragma once
+
+#include "app/ActiveRequests.h"
+#include "app/SubmitRouter.h"
+#include "peer/PeerAuthenticator.h"
+#include "request/FilterChain.h"
+#include "request/Service.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace magnoliaspan {
+
+/// \brief Answers requests of other entry hosts.
+class PeerService : public Service
+{
+public:
+    /// Answers a control message; given the body, returns the body of the reply.
+    using ControlHandler = std::function<std::string(const std::string &body)>;
+
+    PeerService(RequestServices &services,
+                FilterChain &filters,
+                SubmitRouter &submits,
+                ActiveRequests &active,
+                PeerAuthenticator &authenticator,
+                std::string zone,
+                ControlHandler control);
+
+    Abandon handle(ServiceRequest request, ReplyHandler handler) override;
+
+private:
+    Abandon relay(ShardWork work, std::string requestId, WallTime deadline, ReplyHandler handler);
+    void submit(const ServiceRequest &request, ReplyHandler handler);
+    ServiceReply status() const;
+    ShardReply refusedReply(std::string requestId, std::int64_t shard, ShardOutcome outcome, Verdict verdict) const;
+
+    RequestServices &services_;
+    FilterChain &filters_;
+    SubmitRouter &submits_;
+    ActiveRequests &active_;
+    PeerAuthenticator &authenticator_;
+    std::string zone_;
+    ControlHandler control_;
+    std::map<std::uint64_t, std::shared_ptr<SingleShardOperation>> running_;
+    std::uint64_t lastOperation_ = 0;
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/app/ServeCommand.cpp
@@ -0,0 +1,132 @@
+/*
+ * Part app: sockets, signals and the log around an entry host.
+ */
+#include "app/ServeCommand.h"
+
+#include "app/AdminService.h"
+#include "app/EntryHost.h"
+#include "net/EventLoop.h"
+#include "net/HttpPlatformSource.h"
+#include "net/HttpServer.h"
+#include "net/HttpTransport.h"
+#include "net/SystemClock.h"
+
+#include <cstdio>
+#include <random>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace magnoliaspan {
+
+namespace {
+
+constexpr std::size_t maxPeerBodyBytes = 2'097'152;
+constexpr Duration exitPause = std::chrono::milliseconds(50);
+
+std::shared_ptr<spdlog::logger> makeLogger(const Settings &settings)
+{
+    auto logger = spdlog::stderr_logger_st("magnoliaspan");
+    logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l " + settings.seat + " %v");
+    logger->set_level(spdlog::level::from_str(settings.logLevel));
+    logger->flush_on(spdlog::level::warn);
+    return logger;
+}
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+/// The ports of one entry host.
+class Ports
+{
+public:
+    Ports(EventLoop &loop, EntryHost &host)
+        : admin_(host)
+        , callerServer_(loop, host.callers(), {})
+        , peerServer_(loop, host.peerRequests(), peerLimits())
+        , adminServer_(loop, admin_, {})
+    {
+    }
+
+    /// \returns the first error, with the address in \p where.
+    std::error_code listen(const Settings &settings, std::string &where)
+    {
+        struct Port {
+            HttpServer &server;
+            const Endpoint &endpoint;
+        };
+        for (const Port &port : {Port{callerServer_, settings.callerAddress},
+                                 Port{peerServer_, settings.peerAddress},
+                                 Port{adminServer_, settings.adminAddress}}) {
+            if (const std::error_code error = port.server.listen(port.endpoint)) {
+                where = port.endpoint.toString();
+                return error;
+            }
+        }
+        return {};
+    }
+
+    void announceClose()
+    {
+        callerServer_.announceClose();
+    }
+
+    void stopAccepting()
+    {
+        callerServer_.stopAccepting();
+        peerServer_.announceClose();
+        peerServer_.stopAccepting();
+    }
+
+private:
+    static HttpServerLimits peerLimits()
+    {
+        HttpServerLimits limits;
+        limits.maxBodyBytes = maxPeerBodyBytes;
+        return limits;
+    }
+
+    AdminService admin_;
+    HttpServer callerServer_;
+    HttpServer peerServer_;
+    HttpServer adminServer_;
+};
+
+} // namespace
+
+int serve(const Settings &settings)
+{
+    const auto logger = makeLogger(settings);
+    const SystemClock clock;
+    EventLoop loop(clock);
+    HttpTransport transport(loop);
+    HttpPlatformSource platform(clock, loop, transport, settings.platformAddress, settings.environment);
+    const auto sink = [&logger](std::string_view line) { logger->info(line); };
+    EntryHost host({clock, loop, transport, platform, sink, randomSeed()}, settings);
+    Ports ports(loop, host);
+    std::string where;
+    if (const std::error_code error = ports.listen(settings, where)) {
+        std::fprintf(stderr, "magnoliaspan serve: cannot listen on %s: %s\n", where.c_str(), error.message().c_str());
+        return 1;
+    }
+    host.serving().onStage([&](ServingStage stage) {
+        if (stage == ServingStage::Announcing) {
+            ports.announceClose();
+        } else if (stage == ServingStage::Draining) {
+            ports.stopAccepting();
+        } else if (stage == ServingStage::Stopped) {
+            ports.stopAccepting();
+            // The last replies are on their way.
+            loop.callAt(clock.now() + exitPause, [&loop] { loop.stop(); });
+        }
+    });
+    loop.onStopSignal([&host] { host.stop(); });
+    host.start();
+    loop.run();
+    logger->flush();
+    return 0;
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/app/SubmitRouter.cpp
@@ -0,0 +1,180 @@
+/*
+ * Part app: choice of homes and the run at the home.
+ */
+#include "app/SubmitRouter.h"
+
+#include <cassert>
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace magnoliaspan {
+
+namespace {
+
+constexpr std::string_view peerSubmitPath = "/peer/submit";
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusUnavailable = 503;
+constexpr Duration forwardReserve = std::chrono::milliseconds(20);
+
+std::uint64_t weight(std::string_view name, std::string_view key)
+{
+    return XXH3_64bits_withSeed(key.data(), key.size(), XXH3_64bits(name.data(), name.size()));
+}
+
+const ShardSpec &shardFor(const SystemSpec &system, std::string_view routing)
+{
+    const ShardSpec *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const ShardSpec &shard : system.shards) {
+        const std::uint64_t candidate = weight(std::to_string(shard.shard), routing);
+        if (best == nullptr || candidate > bestWeight) {
+            best = &shard;
+            bestWeight = candidate;
+        }
+    }
+    assert(best != nullptr && "a checked document has shards");
+    return *best;
+}
+
+SubmitResult refused(Verdict verdict, std::string code, std::string detail)
+{
+    return {verdict, statusUnavailable, std::move(code), std::move(detail), ""};
+}
+
+} // namespace
+
+SubmitRouter::SubmitRouter(RequestServices &services, WallTime startedAt)
+    : services_(services)
+    , ledger_(services.clock, startedAt)
+{
+}
+
+void SubmitRouter::apply(const EnvironmentDocument &document)
+{
+    ledger_.configure(document.clockOffsetBound, document.keyLifetime);
+}
+
+const SeatSpec &SubmitRouter::homeOf(const EnvironmentDocument &document, std::string_view key)
+{
+    const SeatSpec *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const SeatSpec &seat : document.seats) {
+        const std::uint64_t candidate = weight(seat.name, key);
+        if (best == nullptr || candidate > bestWeight) {
+            best = &seat;
+            bestWeight = candidate;
+        }
+    }
+    assert(best != nullptr && "a checked document has seats");
+    return *best;
+}
+
+const KeyLedger &SubmitRouter::ledger() const
+{
+    return ledger_;
+}
+
+void SubmitRouter::submit(SubmitCall call, const IdempotencyKey &key, TimePoint deadline, Handler handler)
+{
+    const EnvironmentPtr document = services_.configuration.current();
+    const SeatSpec &home = homeOf(*document, key.text);
+    services_.journal.note(Part::Submit, call.requestId, fmt::format("home chosen seat={} key={}", home.name, key.text));
+    if (home.name == services_.seat) {
+        submitAtHome(std::move(call), key, deadline, std::move(handler));
+        return;
+    }
+    forward(call, home, deadline, std::move(handler));
+}
+
+void SubmitRouter::forward(const SubmitCall &call, const SeatSpec &home, TimePoint deadline, Handler handler)
+{
+    TargetLink *link = services_.targets.findPeer(home.name);
+    const TimePoint now = services_.clock.now();
+    const auto permit = link == nullptr ? std::nullopt : link->permit(ConnectionNeed::FreshOrJustProved, deadline);
+    if (!permit || !services_.pause.fresh(now)) {
+        handler(refused(
+            call.refusedBeforeHome(), "home_unreachable", fmt::format("seat '{}', the home of the key, cannot be reached", home.name)));
+        return;
+    }
+    SubmitCall forwarded = call;
+    const Duration remaining = deadline - now;
+    forwarded.timeout = remaining > 2 * forwardReserve ? remaining - forwardReserve : remaining / 2;
+    LinkRequest request;
+    request.requestId = fmt::format("{}.{}", services_.seat, services_.nextOperation());
+    forwarded.requestId = request.requestId;
+    request.wire.path = peerSubmitPath;
+    request.wire.body = encode(forwarded);
+    request.wire.authorization = services_.authorize(request.wire.path, request.wire.body);
+    request.deadline = deadline;
+    request.silentAfter = deadline;
+    request.handler = [handler = std::move(handler), seat = home.name, least = call.refusedBeforeHome()](const LinkReply &reply) {
+        const auto result = reply.reply ? decodeSubmitResult(reply.reply->result) : std::nullopt;
+        if (result) {
+            handler(*result);
+            return;
+        }
+        const std::string why = reply.error ? reply.error.message() : "its answer is malformed";
+        handler(refused(combine(least, reply.verdict()), "home_unreachable", fmt::format("seat '{}', the home of the key: {}", seat, why)));
+    };
+    link->send(*permit, ConnectionNeed::FreshOrJustProved, std::move(request));
+}
+
+void SubmitRouter::submitAtHome(SubmitCall call, const IdempotencyKey &key, TimePoint deadline, Handler handler)
+{
+    const EnvironmentPtr document = services_.configuration.current();
+    const SeatSpec &home = homeOf(*document, key.text);
+    if (home.name != services_.seat) {
+        handler(refused(call.refusedBeforeHome(), "not_home", fmt::format("seat '{}' is not the home of the key", services_.seat)));
+        return;
+    }
+    const std::uint64_t content = weight(call.system + '\n' + call.routing, call.payload);
+    const KeyLedger::Entry entry = ledger_.begin(key, content, std::move(handler));
+    const std::string_view decision = entry == KeyLedger::Entry::Run ? "run" : entry == KeyLedger::Entry::Waiting ? "wait" : "ended";
+    services_.journal.note(Part::Submit, call.requestId, fmt::format("key looked up key={} decision={}", key.text, decision));
+    if (entry == KeyLedger::Entry::Run) {
+        run(call, key, deadline);
+    }
+}
+
+void SubmitRouter::run(const SubmitCall &call, const IdempotencyKey &key, TimePoint deadline)
+{
+    const EnvironmentPtr document = services_.configuration.current();
+    const SystemSpec &system = *document->findSystem(call.system);
+    const ShardSpec &shard = shardFor(system, call.routing.empty() ? key.text : call.routing);
+    ShardSubmit work;
+    work.system = call.system;
+    work.key = key.text;
+    work.payload = call.payload;
+    work.shard = shard.shard;
+    auto operation = std::make_shared<SingleShardOperation>(
+        services_,
+        work,
+        call.requestId,
+        shard.targets,
+        deadline,
+        true,
+        [this, key = key.text, requestId = call.requestId](const SingleShardResult &result) { ended(key, requestId, result); });
+    running_[key.text] = operation;
+    operation->start();
+}
+
+void SubmitRouter::ended(const std::string &key, const std::string &requestId, const SingleShardResult &result)
+{
+    // The operation calls this; it must outlive the call.
+    const auto operation = std::move(running_[key]);
+    running_.erase(key);
+    SubmitResult told;
+    told.verdict = result.verdict;
+    if (result.verdict == Verdict::Ran && result.reply) {
+        told.status = statusOk;
+        told.result = result.reply->result;
+    } else {
+        told.code = result.verdict == Verdict::NotRun ? "not_accepted" : "outcome_unknown";
+        told.detail = fmt::format("the shard's target: {}", result.failure.empty() ? "answered without running it" : result.failure);
+    }
+    services_.counters.add(fmt::format("magnoliaspan_submits_total{{verdict=\"{}\"}}", toString(told.verdict)));
+    services_.journal.note(Part::Submit, requestId, fmt::format("submit ended key={} verdict={}", key, toString(told.verdict)));
+    ledger_.end(key, told);
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/app/SubmitRouter.h
@@ -0,0 +1,54 @@
+/*
+ * Part app: brings each submit to the home of its key and runs it there.
+ *
+ * The home of a key is chosen among the published seats by rendezvous hashing
+ * (Thaler and Ravishankar, 1998), so that every entry host names the same home
+ * without a message. The home remembers the key; a resend through any entry
+ * host meets that memory.
+ */
+#pragma once
+
+#include "control/KeyLedger.h"
+#include "request/CallerMessages.h"
+#include "request/RequestServices.h"
+#include "request/SingleShardOperation.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace magnoliaspan {
+
+/// \brief Routes and runs non-idempotent requests.
+class SubmitRouter
+{
+public:
+    using Handler = std::function<void(const SubmitResult &result)>;
+
+    SubmitRouter(RequestServices &services, WallTime startedAt);
+
+    /// \brief Tells the published bounds and seats.
+    void apply(const EnvironmentDocument &document);
+
+    /// \brief Runs \p call here when this seat is the home of its key, else at its home.
+    void submit(SubmitCall call, const IdempotencyKey &key, TimePoint deadline, Handler handler);
+
+    /// \brief Runs \p call here; refuses it when this seat is not the home of its key.
+    void submitAtHome(SubmitCall call, const IdempotencyKey &key, TimePoint deadline, Handler handler);
+
+    /// \returns the seat that is home of \p key in \p document.
+    static const SeatSpec &homeOf(const EnvironmentDocument &document, std::string_view key);
+
+    const KeyLedger &ledger() const;
+
+private:
+    void forward(const SubmitCall &call, const SeatSpec &home, TimePoint deadline, Handler handler);
+    void run(const SubmitCall &call, const IdempotencyKey &key, TimePoint deadline);
+    void ended(const std::string &key, const std::string &requestId, const SingleShardResult &result);
+
+    RequestServices &services_;
+    KeyLedger ledger_;
+    std::map<std::string, std::shared_ptr<SingleShardOperation>> running_; // By key.
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,205 @@
+/*
+ * Part app: the command line.
+ */
+#include "app/AdminClient.h"
+#include "app/ServeCommand.h"
+#include "config/EnvironmentDocument.h"
+#include "config/Promotion.h"
+#include "config/Schema.h"
+#include "config/Settings.h"
+
+#include <cstdio>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <iterator>
+#include <span>
+
+DEFINE_string(settings, "", "settings file of the process (serve)");
+DEFINE_string(admin, "127.0.0.1:7300", "admin address of a running entry host (status, explain)");
+DEFINE_string(environment, "production", "environment to promote to (promote)");
+DEFINE_int64(generation, 0, "generation of the promoted document; 0 keeps the trial's (promote)");
+
+namespace magnoliaspan {
+
+namespace {
+
+constexpr int exitGood = 0;
+constexpr int exitFailed = 1;
+constexpr int exitUsage = 2;
+
+constexpr const char *versionText = "magnoliaspan " MAGNOLIASPAN_VERSION;
+
+constexpr const char *usageText = R"(usage: magnoliaspan COMMAND [FLAGS] [ARGUMENTS]
+
+  serve --settings FILE           run an entry host until SIGTERM
+  check FILE                      check a settings file or an environment document
+  promote [--environment NAME] [--generation N] FILE
+                                  write the trial document FILE as that of NAME to standard output
+  status [--admin IP:PORT]        what a running entry host believes, with ages and sources
+  explain [--admin IP:PORT] ID    the decisions taken for one recent request
+  version                         the version of this program
+  help [configuration]            this text, or the reference of all configuration fields
+
+Exit status: 0 good, 1 the command failed, 2 it was called wrongly.
+)";
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return std::nullopt;
+    }
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+int report(const Diagnostics &diagnostics)
+{
+    for (const Diagnostic &diagnostic : diagnostics) {
+        std::cerr << diagnostic.toString() << '\n';
+    }
+    return diagnostics.empty() ? exitGood : exitFailed;
+}
+
+int wrongUse(const std::string &message)
+{
+    std::cerr << "magnoliaspan: " << message << "; see 'magnoliaspan help'\n";
+    return exitUsage;
+}
+
+int fileMissing(const std::string &path)
+{
+    return report({{path, 0, "file", "cannot be read"}});
+}
+
+int runServe()
+{
+    if (FLAGS_settings.empty()) {
+        return wrongUse("serve needs --settings FILE");
+    }
+    const auto text = readFile(FLAGS_settings);
+    if (!text) {
+        return fileMissing(FLAGS_settings);
+    }
+    Diagnostics diagnostics;
+    const auto settings = Settings::parse(*text, FLAGS_settings, diagnostics);
+    if (!settings) {
+        return report(diagnostics);
+    }
+    return serve(*settings);
+}
+
+bool isSettings(std::string_view text)
+{
+    // Only a settings file names the seat of a process at its top level.
+    return text.starts_with("seat:") || text.find("\nseat:") != std::string_view::npos;
+}
+
+int runCheck(const std::string &path)
+{
+    const auto text = readFile(path);
+    if (!text) {
+        return fileMissing(path);
+    }
+    Diagnostics diagnostics;
+    if (isSettings(*text)) {
+        Settings::parse(*text, path, diagnostics);
+    } else if (const EnvironmentPtr document = EnvironmentDocument::parse(*text, path, diagnostics)) {
+        std::cout << path << ": generation " << document->generation << " of environment '" << document->environment << "', digest "
+                  << document->digest << '\n';
+    }
+    return report(diagnostics);
+}
+
+int runPromote(const std::string &path)
+{
+    const auto text = readFile(path);
+    if (!text) {
+        return fileMissing(path);
+    }
+    Diagnostics diagnostics;
+    const auto generation = FLAGS_generation > 0 ? std::optional<std::int64_t>(FLAGS_generation) : std::nullopt;
+    const auto promoted = promote(*text, path, FLAGS_environment, generation, diagnostics);
+    if (promoted) {
+        std::cout << *promoted;
+    }
+    return report(diagnostics);
+}
+
+int runAdmin(const std::string &path)
+{
+    const auto endpoint = Endpoint::parse(FLAGS_admin);
+    if (!endpoint) {
+        return wrongUse("--admin is not IP:PORT");
+    }
+    const AdminReply reply = askAdmin(*endpoint, path);
+    if (!reply.reached) {
+        std::cerr << "magnoliaspan: no answer from " << FLAGS_admin << '\n';
+        return exitFailed;
+    }
+    (reply.status == 200 ? std::cout : std::cerr) << reply.body;
+    return reply.status == 200 ? exitGood : exitFailed;
+}
+
+int runHelp(std::span<const std::string> arguments)
+{
+    if (arguments.empty()) {
+        std::cout << usageText;
+        return exitGood;
+    }
+    if (arguments.front() == "configuration") {
+        std::cout << referencePage();
+        return exitGood;
+    }
+    return wrongUse("help knows no topic '" + arguments.front() + "'");
+}
+
+int run(const std::string &command, std::span<const std::string> arguments)
+{
+    const bool takesOne = command == "check" || command == "promote" || command == "explain";
+    if (takesOne && arguments.size() != 1) {
+        return wrongUse(command + " takes one argument");
+    }
+    if (!takesOne && command != "help" && !arguments.empty()) {
+        return wrongUse(command + " takes no argument");
+    }
+    if (command == "serve") {
+        return runServe();
+    }
+    if (command == "check") {
+        return runCheck(arguments.front());
+    }
+    if (command == "promote") {
+        return runPromote(arguments.front());
+    }
+    if (command == "status") {
+        return runAdmin("/status");
+    }
+    if (command == "explain") {
+        return runAdmin("/explain?request=" + arguments.front());
+    }
+    if (command == "version") {
+        std::cout << versionText << '\n';
+        return exitGood;
+    }
+    if (command == "help") {
+        return runHelp(arguments);
+    }
+    return wrongUse("unknown command '" + command + "'");
+}
+
+} // namespace
+
+} // namespace magnoliaspan
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage(magnoliaspan::usageText);
+    gflags::SetVersionString(MAGNOLIASPAN_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    if (words.empty()) {
+        return magnoliaspan::wrongUse("a command is missing");
+    }
+    return magnoliaspan::run(words.front(), std::span(words).subspan(1));
+}
--- /dev/null
+++ b/src/config/Schema.h
@@ -0,0 +1,40 @@
+/*
+ * Part config: the table of fields of the two documents.
+ * The same table drives the checks, the defaults and the reference page.
+ */
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace magnoliaspan {
+
+/// The two documents that the program reads.
+enum class DocumentKind { Settings, Environment };
+
+/// What the text of a field must be.
+enum class FieldType { Text, Name, Integer, Fraction, Duration, Address, Choice, List, Map };
+
+/// \brief One row of the table.
+struct FieldSpec {
+    std::string_view path; ///< Dotted; a list's elements are written as list[].
+    FieldType type;
+    bool required;
+    std::string_view defaultValue; ///< Empty when there is none.
+    double minimum;                ///< For Integer and Fraction; milliseconds for Duration.
+    double maximum;
+    std::string_view choices; ///< For Choice, separated by a bar.
+    std::string_view doc;
+};
+
+/// \returns all fields of documents of \p kind.
+std::span<const FieldSpec> schemaOf(DocumentKind kind);
+
+/// \returns the row for \p path, or null.
+const FieldSpec *findField(std::span<const FieldSpec> schema, std::string_view path);
+
+/// \returns the reference page for both documents, in Markdown.
+std::string referencePage();
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/control/Budget.cpp
@@ -0,0 +1,39 @@
+/*
+ * Part control: the token bucket.
+ */
+#include "control/Budget.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace magnoliaspan {
+
+Budget::Budget(double ratio, double burst)
+    : ratio_(ratio)
+    , burst_(burst)
+    , tokens_(burst)
+{
+    assert(ratio >= 0 && ratio <= 1 && "the ratio is a share");
+}
+
+void Budget::setRatio(double ratio)
+{
+    assert(ratio >= 0 && ratio <= 1 && "the ratio is a share");
+    ratio_ = ratio;
+}
+
+void Budget::earn()
+{
+    tokens_ = std::min(burst_, tokens_ + ratio_);
+}
+
+bool Budget::spend()
+{
+    if (tokens_ < 1) {
+        return false;
+    }
+    tokens_ -= 1;
+    return true;
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/control/Budget.h
@@ -0,0 +1,30 @@
+/*
+ * Part control: bounds extra subrequests to a share of the needed ones.
+ */
+#pragma once
+
+namespace magnoliaspan {
+
+/// \brief A token bucket filled by ordinary work and emptied by extra work.
+class Budget
+{
+public:
+    /// \param ratio extra requests allowed for each ordinary one, 0 to 1.
+    /// \param burst tokens held at most and at the start.
+    Budget(double ratio, double burst);
+
+    void setRatio(double ratio);
+
+    /// \brief Tells of one ordinary request.
+    void earn();
+
+    /// \brief Takes one token. \returns false when there is none.
+    bool spend();
+
+private:
+    double ratio_;
+    double burst_;
+    double tokens_; // Invariant: from 0 to burst_.
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/control/ColdShare.cpp
@@ -0,0 +1,49 @@
+/*
+ * Part control: arithmetic of the cold share.
+ */
+#include "control/ColdShare.h"
+
+#include <cassert>
+
+namespace magnoliaspan {
+
+namespace {
+
+unsigned fixedPart(const ColdShareInput &input)
+{
+    const unsigned base = input.coldConcurrency / input.seatCount;
+    const unsigned remainder = input.coldConcurrency % input.seatCount;
+    const auto position = static_cast<unsigned>((input.seatIndex + input.targetHash) % input.seatCount);
+    return base + (position < remainder ? 1U : 0U);
+}
+
+bool holdsSlice(const ColdShareInput &input, std::uint64_t slice)
+{
+    const std::uint64_t count = input.seatCount;
+    const std::uint64_t position = (input.seatIndex + input.targetHash % count) % count;
+    const std::uint64_t first = (slice % count) * input.coldConcurrency % count;
+    return (position + count - first) % count < input.coldConcurrency;
+}
+
+} // namespace
+
+ColdTurn coldTurn(const ColdShareInput &input, WallTime now)
+{
+    assert(input.seatCount > 0 && "a zone with targets needs a seat");
+    assert(input.seatIndex < input.seatCount && "the seat must be one of the zone's");
+    if (input.coldConcurrency >= input.seatCount) {
+        return {fixedPart(input), std::nullopt};
+    }
+    const auto slice = std::chrono::duration_cast<std::chrono::milliseconds>(input.slice);
+    const auto guard = std::chrono::ceil<std::chrono::milliseconds>(input.clockOffsetBound);
+    const auto number = now.time_since_epoch() / slice;
+    const WallTime begin{number * slice};
+    const WallTime from = begin + guard;
+    const WallTime until = begin + slice - guard;
+    if (!holdsSlice(input, static_cast<std::uint64_t>(number)) || now < from || now >= until) {
+        return {0, std::nullopt};
+    }
+    return {1, until};
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/control/KeyLedger.cpp
@@ -0,0 +1,148 @@
+/*
+ * Part control: the rules that make a key run at most once.
+ */
+#include "control/KeyLedger.h"
+
+#include <cassert>
+#include <charconv>
+
+namespace magnoliaspan {
+
+namespace {
+
+constexpr unsigned statusConflict = 409;
+constexpr unsigned statusUnprocessable = 422;
+constexpr unsigned statusUnavailable = 503;
+
+} // namespace
+
+std::optional<IdempotencyKey> IdempotencyKey::parse(std::string_view text)
+{
+    const auto dash = text.find('-');
+    const bool hasForm = dash != std::string_view::npos && dash > 0 && dash + 1 < text.size() && text.size() <= maxLength;
+    if (!hasForm) {
+        return std::nullopt;
+    }
+    for (const char c : text) {
+        if (c < '!' || c > '~') {
+            return std::nullopt;
+        }
+    }
+    std::int64_t issued = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + dash, issued);
+    constexpr std::int64_t maxUnixMs = 100'000'000'000'000;
+    if (error != std::errc{} || end != text.data() + dash || issued < 0 || issued > maxUnixMs) {
+        return std::nullopt;
+    }
+    return IdempotencyKey{std::string(text), WallTime(std::chrono::milliseconds(issued))};
+}
+
+KeyLedger::KeyLedger(const Clock &clock, WallTime startedAt)
+    : clock_(clock)
+    , startedAt_(startedAt)
+{
+}
+
+void KeyLedger::configure(Duration clockOffsetBound, Duration keyLifetime)
+{
+    clockOffsetBound_ = clockOffsetBound;
+    keyLifetime_ = keyLifetime;
+}
+
+std::optional<SubmitResult> KeyLedger::refuseByAge(const IdempotencyKey &key) const
+{
+    const WallTime now = clock_.wallNow();
+    const auto bound = std::chrono::ceil<std::chrono::milliseconds>(clockOffsetBound_);
+    const auto lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(keyLifetime_);
+    // Another home's clock may have been ahead of this one and taken the key.
+    if (key.issued > now + 2 * bound) {
+        return SubmitResult{
+            Verdict::NotRun, statusUnprocessable, "key_from_future", "the key's issue time is later than this host's clock", ""};
+    }
+    if (key.issued > now + bound) {
+        return SubmitResult{
+            Verdict::MayHaveRun, statusUnprocessable, "key_from_future", "the key's issue time is later than this host's clock", ""};
+    }
+    if (key.issued + lifetime < now) {
+        return SubmitResult{
+            Verdict::MayHaveRun, statusUnprocessable, "key_expired", "the key is older than the published key_lifetime", ""};
+    }
+    if (key.issued < startedAt_ + bound) {
+        return SubmitResult{Verdict::MayHaveRun,
+                            statusUnavailable,
+                            "key_older_than_host",
+                            "this host started after the key was issued and cannot know",
+                            ""};
+    }
+    return std::nullopt;
+}
+
+KeyLedger::Entry KeyLedger::begin(const IdempotencyKey &key, std::uint64_t content, Waiter waiter)
+{
+    forgetExpired();
+    const auto found = records_.find(key.text);
+    if (found != records_.end()) {
+        Record &record = found->second;
+        if (record.content != content) {
+            waiter({Verdict::NotRun, statusConflict, "key_reused", "the key was used for another payload; this payload was not run", ""});
+            return Entry::Ended;
+        }
+        if (record.result) {
+            waiter(*record.result);
+            return Entry::Ended;
+        }
+        record.waiters.push_back(std::move(waiter));
+        return Entry::Waiting;
+    }
+    if (const auto refusal = refuseByAge(key)) {
+        waiter(*refusal);
+        return Entry::Ended;
+    }
+    if (records_.size() >= capacity) {
+        waiter({Verdict::NotRun, statusUnavailable, "too_many_keys", "this host remembers as many keys as it can", ""});
+        return Entry::Ended;
+    }
+    Record &record = records_[key.text];
+    record.content = content;
+    const auto lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(keyLifetime_);
+    record.forgetAt = key.issued + lifetime + 2 * std::chrono::ceil<std::chrono::milliseconds>(clockOffsetBound_);
+    record.waiters.push_back(std::move(waiter));
+    return Entry::Run;
+}
+
+void KeyLedger::end(std::string_view key, const SubmitResult &result)
+{
+    const auto found = records_.find(key);
+    assert(found != records_.end() && !found->second.result && "end() follows one begin() that said Run");
+    std::vector<Waiter> waiters = std::move(found->second.waiters);
+    if (result.verdict == Verdict::NotRun) {
+        // The caller may try the same key again.
+        records_.erase(found);
+    } else {
+        found->second.waiters.clear();
+        found->second.result = result;
+    }
+    for (const Waiter &waiter : waiters) {
+        waiter(result);
+    }
+}
+
+std::size_t KeyLedger::size() const
+{
+    return records_.size();
+}
+
+void KeyLedger::forgetExpired()
+{
+    // Keys sort by their issue time's digits, so that the oldest come first.
+    const WallTime now = clock_.wallNow();
+    while (!records_.empty()) {
+        const auto first = records_.begin();
+        if (!first->second.result || first->second.forgetAt > now) {
+            return;
+        }
+        records_.erase(first);
+    }
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/control/LinkEnvironment.h
@@ -0,0 +1,26 @@
+/*
+ * Part control: what every link shares with its entry host.
+ */
+#pragma once
+
+#include "core/Clock.h"
+#include "core/Counters.h"
+#include "core/Journal.h"
+#include "core/Scheduler.h"
+#include "transport/Transport.h"
+
+#include <functional>
+
+namespace magnoliaspan {
+
+/// \brief References that outlive every link.
+struct LinkEnvironment {
+    const Clock &clock;
+    Scheduler &scheduler;
+    Transport &transport;
+    Journal &journal;
+    Counters &counters;
+    std::function<void()> capacityFreed; ///< Called after a link can take more work.
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/control/PauseDetector.cpp
@@ -0,0 +1,39 @@
+/*
+ * Part control: the pause judgement.
+ */
+#include "control/PauseDetector.h"
+
+namespace magnoliaspan {
+
+PauseDetector::PauseDetector(TimePoint start)
+    : lastEvent_(start)
+{
+}
+
+bool PauseDetector::observe(TimePoint now)
+{
+    const bool paused = now - lastEvent_ > maxGap;
+    lastEvent_ = now;
+    if (paused) {
+        resumedAt_ = now;
+    }
+    return paused;
+}
+
+void PauseDetector::confirm(TimePoint asked)
+{
+    if (resumedAt_ && asked >= *resumedAt_) {
+        resumedAt_.reset();
+    }
+}
+
+bool PauseDetector::fresh(TimePoint now) const
+{
+    if (now - lastEvent_ > maxGap) {
+        // A pause that observe() has not been told of yet.
+        return false;
+    }
+    return !resumedAt_ || now - *resumedAt_ > maxWait;
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/control/TargetController.cpp
@@ -0,0 +1,283 @@
+/*
+ * Part control: upkeep of links and the choice of replicas.
+ */
+#include "control/TargetController.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <set>
+
+namespace magnoliaspan {
+
+namespace {
+
+constexpr unsigned connectionsPerPeer = 64;
+
+bool contains(std::span<const std::string> names, std::string_view name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+bool mayHold(const TargetLink &link, std::int64_t snapshot)
+{
+    const auto &held = link.snapshots();
+    return snapshot == 0 || held.empty() || std::find(held.begin(), held.end(), snapshot) != held.end();
+}
+
+double load(const TargetLink &link)
+{
+    const auto latency = std::max<double>(1, static_cast<double>(link.meanLatency().count()));
+    return (link.inFlight() + 1) * latency;
+}
+
+unsigned share(unsigned total, std::size_t parts)
+{
+    return std::max(1U, total / static_cast<unsigned>(std::max<std::size_t>(1, parts)));
+}
+
+} // namespace
+
+TargetController::TargetController(const LinkEnvironment &environment, std::string seat, std::string zone, std::uint64_t seed)
+    : environment_(environment)
+    , seat_(std::move(seat))
+    , zone_(std::move(zone))
+    , random_(seed)
+{
+}
+
+void TargetController::apply(const EnvironmentDocument &document)
+{
+    applyTargets(document);
+    applySeats(document);
+}
+
+void TargetController::applyTargets(const EnvironmentDocument &document)
+{
+    std::vector<std::string> obsolete;
+    for (const auto &[name, link] : targets_) {
+        const TargetSpec *spec = document.findTarget(name);
+        if (spec == nullptr || spec->zone != zone_ || spec->address != link->address().endpoint) {
+            obsolete.push_back(name);
+        }
+    }
+    retire(targets_, obsolete);
+    for (const auto &[name, spec] : document.targets) {
+        if (spec.zone != zone_) {
+            continue;
+        }
+        const LinkLimits limits = targetLimits(document, spec);
+        const auto found = targets_.find(name);
+        if (found != targets_.end()) {
+            found->second->setLimits(limits);
+            continue;
+        }
+        add(targets_, {name, spec.zone, spec.address}, limits);
+        const auto listed = listed_.find(name);
+        if (listed != listed_.end()) {
+            targets_.at(name)->listed(listed->second == MemberState::Leaving);
+        }
+    }
+}
+
+void TargetController::applySeats(const EnvironmentDocument &document)
+{
+    std::vector<std::string> obsolete;
+    for (const auto &[name, link] : peers_) {
+        const SeatSpec *spec = document.findSeat(name);
+        if (spec == nullptr || spec->peer != link->address().endpoint || spec->zone != link->address().zone) {
+            obsolete.push_back(name);
+        }
+    }
+    retire(peers_, obsolete);
+    LinkLimits limits;
+    limits.connections = connectionsPerPeer;
+    limits.slots = connectionsPerPeer;
+    limits.guardsColdStart = false;
+    for (const SeatSpec &seat : document.seats) {
+        if (seat.name == seat_ || peers_.count(seat.name) != 0) {
+            continue;
+        }
+        add(peers_, {seat.name, seat.zone, seat.peer}, limits);
+    }
+}
+
+void TargetController::retire(Links &links, std::span<const std::string> obsolete)
+{
+    for (const std::string &name : obsolete) {
+        const auto found = links.find(name);
+        retired_.push_back(std::move(found->second));
+        links.erase(found);
+    }
+}
+
+void TargetController::add(Links &links, LinkAddress address, const LinkLimits &limits)
+{
+    const std::string name = address.name;
+    links.emplace(name, std::make_unique<TargetLink>(environment_, std::move(address), limits));
+}
+
+LinkLimits TargetController::targetLimits(const EnvironmentDocument &document, const TargetSpec &target) const
+{
+    const SystemSpec &system = *document.findSystem(target.system);
+    const std::vector<std::string> seats = document.seatsOf(zone_);
+    const auto own = std::find(seats.begin(), seats.end(), seat_);
+    LinkLimits limits;
+    limits.connections = share(system.connections, seats.size());
+    limits.slots = std::min(share(system.slots, seats.size()), limits.connections);
+    limits.warmAfter = system.warmAfter;
+    limits.cold.seatCount = static_cast<unsigned>(std::max<std::size_t>(1, seats.size()));
+    limits.cold.seatIndex = own == seats.end() ? 0 : static_cast<unsigned>(own - seats.begin());
+    // A process in no published seat has no part in what a cold target bears.
+    limits.cold.coldConcurrency = own == seats.end() ? 0 : system.coldConcurrency;
+    limits.cold.targetHash = std::hash<std::string>{}(target.name);
+    limits.cold.slice = document.coldSlice;
+    limits.cold.clockOffsetBound = document.clockOffsetBound;
+    return limits;
+}
+
+void TargetController::apply(const MembershipReading &reading)
+{
+    listed_ = reading.targets;
+    for (const auto &[name, state] : reading.targets) {
+        const auto found = targets_.find(name);
+        if (found == targets_.end()) {
+            continue;
+        }
+        found->second->listed(state == MemberState::Leaving);
+    }
+}
+
+std::optional<Route> TargetController::pick(const ReplicaWanted &wanted, NoRoute &why)
+{
+    bool anyUsable = false;
+    const auto local = localCandidates(wanted, anyUsable);
+    if (!local.empty()) {
+        const Candidate &chosen = lessLoaded(local);
+        return Route{chosen.link, chosen.permit, false, local.size() > 1 ? "less loaded of two" : "only one admissible"};
+    }
+    if (wanted.mayUsePeers) {
+        const auto remote = peerCandidates(wanted, anyUsable);
+        if (!remote.empty()) {
+            const Candidate &chosen = lessLoaded(remote);
+            return Route{chosen.link, chosen.permit, true, "no admissible replica in this zone"};
+        }
+    }
+    why = anyUsable ? NoRoute::Busy : NoRoute::NoReplica;
+    return std::nullopt;
+}
+
+std::vector<TargetController::Candidate> TargetController::localCandidates(const ReplicaWanted &wanted, bool &anyUsable) const
+{
+    std::vector<Candidate> candidates;
+    if (!wanted.document.zoneTakesWork(zone_)) {
+        return candidates;
+    }
+    for (const std::string &name : wanted.replicas) {
+        const auto found = targets_.find(name);
+        if (found == targets_.end() || contains(wanted.avoid, name)) {
+            continue;
+        }
+        TargetLink &link = *found->second;
+        if (link.state() == TargetState::Leaving || !mayHold(link, wanted.snapshot)) {
+            continue;
+        }
+        anyUsable = true;
+        const auto permit = link.permit(wanted.need, wanted.deadline);
+        if (permit) {
+            candidates.push_back({&link, *permit});
+        }
+    }
+    return candidates;
+}
+
+std::vector<TargetController::Candidate> TargetController::peerCandidates(const ReplicaWanted &wanted, bool &anyUsable)
+{
+    std::set<std::string_view> zones;
+    for (const std::string &name : wanted.replicas) {
+        const TargetSpec *target = wanted.document.findTarget(name);
+        if (target != nullptr && target->zone != zone_ && wanted.document.zoneTakesWork(target->zone)) {
+            zones.insert(target->zone);
+        }
+    }
+    std::vector<Candidate> candidates;
+    for (const auto &[seat, link] : peers_) {
+        if (zones.count(link->address().zone) == 0 || contains(wanted.avoid, seat)) {
+            continue;
+        }
+        const auto permit = link->permit(wanted.need, wanted.deadline);
+        if (permit) {
+            candidates.push_back({link.get(), *permit});
+        }
+        anyUsable = anyUsable || link->state() != TargetState::Lost;
+    }
+    return candidates;
+}
+
+const TargetController::Candidate &TargetController::lessLoaded(const std::vector<Candidate> &candidates)
+{
+    if (candidates.size() == 1) {
+        return candidates.front();
+    }
+    const std::size_t first = random_() % candidates.size();
+    const std::size_t step = 1 + random_() % (candidates.size() - 1);
+    const std::size_t second = (first + step) % candidates.size();
+    return load(*candidates[first].link) <= load(*candidates[second].link) ? candidates[first] : candidates[second];
+}
+
+std::int64_t TargetController::bestSnapshot(const SystemSpec &system, std::int64_t excluded) const
+{
+    std::map<std::int64_t, std::size_t> shardsHolding;
+    for (const ShardSpec &shard : system.shards) {
+        std::set<std::int64_t> held;
+        for (const std::string &name : shard.targets) {
+            const auto found = targets_.find(name);
+            if (found == targets_.end() || found->second->state() == TargetState::Leaving || found->second->state() == TargetState::Lost) {
+                continue;
+            }
+            held.insert(found->second->snapshots().begin(), found->second->snapshots().end());
+        }
+        for (const std::int64_t snapshot : held) {
+            if (snapshot != excluded) {
+                ++shardsHolding[snapshot];
+            }
+        }
+    }
+    std::int64_t best = 0;
+    std::size_t bestCount = 0;
+    for (const auto &[snapshot, count] : shardsHolding) {
+        if (count >= bestCount) {
+            best = snapshot;
+            bestCount = count;
+        }
+    }
+    return best;
+}
+
+void TargetController::tick()
+{
+    for (const auto &[name, link] : targets_) {
+        link->tick();
+    }
+    for (const auto &[name, link] : peers_) {
+        link->tick();
+    }
+    std::erase_if(retired_, [](const std::unique_ptr<TargetLink> &link) { return link->inFlight() == 0; });
+}
+
+const std::map<std::string, std::unique_ptr<TargetLink>, std::less<>> &TargetController::targets() const
+{
+    return targets_;
+}
+
+const std::map<std::string, std::unique_ptr<TargetLink>, std::less<>> &TargetController::peers() const
+{
+    return peers_;
+}
+
+TargetLink *TargetController::findPeer(std::string_view seat)
+{
+    const auto found = peers_.find(seat);
+    return found == peers_.end() ? nullptr : found->second.get();
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/control/TargetLink.h
@@ -0,0 +1,180 @@
+/*
+ * Part control: all that one entry host knows of one target, and its
+ * connections to it. Other zones' entry hosts are reached by links too.
+ *
+ * A connection is proved once an answer shows that the same start of the
+ * target, known not to be cold, is behind it. Work on connections that are not
+ * proved stays within the cold share, since a target that restarted
+ * unnoticed can only be reached through a new connection.
+ */
+#pragma once
+
+#include "control/ConcurrencyLimit.h"
+#include "control/LinkEnvironment.h"
+#include "control/LinkLimits.h"
+#include "control/TargetMachine.h"
+#include "request/ShardMessages.h"
+#include "transport/Connection.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace magnoliaspan {
+
+/// What an exchange needs of its connection.
+enum class ConnectionNeed {
+    Any,               ///< Idempotent work: any usable connection.
+    FreshOrJustProved, ///< Non-idempotent work: a new connection or one that answered a moment ago.
+};
+
+/// Identifies an exchange of one link; zero names none.
+enum class ExchangeId : std::uint64_t { None = 0 };
+
+/// \brief Leave to send one subrequest now.
+struct SendPermit {
+    TimePoint deadline; ///< The subrequest's deadline may not be later.
+    bool cold = false;  ///< Counts against the cold share.
+};
+
+/// \brief How a subrequest ended.
+struct LinkReply {
+    std::error_code error;           ///< Set when there is no valid answer.
+    bool bytesSent = false;          ///< Whether any byte of the request may have reached the target.
+    std::optional<ShardReply> reply; ///< The answer; its request id and shard match the request.
+
+    /// \returns what is known of whether the work was run.
+    Verdict verdict() const;
+};
+
+/// \brief A subrequest as handed to a link.
+struct LinkRequest {
+    WireRequest wire;
+    std::string requestId;                  ///< The answer must repeat it.
+    std::int64_t shard = 0;                 ///< The answer must repeat it.
+    TimePoint deadline;                     ///< As sent to the target.
+    TimePoint silentAfter;                  ///< When an unanswered connection counts as silent.
+    std::function<void(LinkReply)> handler; ///< Called once unless the exchange is abandoned.
+};
+
+/// \brief Address of a link.
+struct LinkAddress {
+    std::string name; ///< Of the target or seat.
+    std::string zone;
+    Endpoint endpoint;
+};
+
+/// \brief One target or peer as seen from this entry host.
+class TargetLink
+{
+public:
+    TargetLink(const LinkEnvironment &environment, LinkAddress address, const LinkLimits &limits);
+    ~TargetLink();
+    TargetLink(const TargetLink &) = delete;
+    TargetLink &operator=(const TargetLink &) = delete;
+
+    const LinkAddress &address() const;
+    TargetState state() const;
+    unsigned inFlight() const;
+    unsigned openConnections() const;
+    const std::vector<std::int64_t> &snapshots() const;
+    const std::string &bootId() const;
+    Duration meanLatency() const; ///< Exponentially weighted; zero before the first answer.
+    unsigned concurrencyLimit() const;
+
+    /// \returns the instant of the last answer, if any.
+    std::optional<TimePoint> lastAnswer() const;
+
+    void setLimits(const LinkLimits &limits);
+
+    /// \brief Asks whether work due at \p deadline may be sent now.
+    std::optional<SendPermit> permit(ConnectionNeed need, TimePoint deadline) const;
+
+    /// \brief Sends one subrequest by a permit obtained at the same instant.
+    ExchangeId send(const SendPermit &permit, ConnectionNeed need, LinkRequest request);
+
+    /// \brief Gives up an exchange; its handler is not called any more.
+    /// Its connection is closed, except that work on a cold share runs to its end.
+    void abandon(ExchangeId exchange);
+
+    /// \brief Tells what the membership list says.
+    void listed(bool leaving);
+
+    /// \brief Does what is due: proves idle connections, looks for a lost or leaving target again.
+    void tick();
+
+private:
+    enum class ConnectionState { Connecting, Idle, Busy };
+    enum class ConnectionId : std::uint64_t { None = 0 };
+
+    struct RunningExchange {
+        ExchangeId id = ExchangeId::None;
+        LinkRequest request;
+        TimePoint sentAt;
+        TimerId timer = TimerId::None;
+        bool cold = false;
+        bool probe = false; // A status probe, not work.
+    };
+
+    struct LinkConnection {
+        std::unique_ptr<Connection> connection;
+        ConnectionState state = ConnectionState::Connecting;
+        TimePoint connectedAt;
+        TimePoint lastAnswer; // Of work or of a probe.
+        bool proved = false;
+        std::optional<RunningExchange> exchange; // Set while Busy, and while Connecting for an exchange.
+    };
+
+    struct Choice {
+        ConnectionId existing = ConnectionId::None; // None opens a new connection.
+        bool proved = false;
+    };
+
+    std::optional<Choice> choose(ConnectionNeed need) const;
+    unsigned sharedBound(unsigned coldPermits) const;
+    unsigned coldInFlight() const;
+    ConnectionId open(std::optional<RunningExchange> exchange);
+    void connected(ConnectionId id, std::error_code error);
+    void connectFailed(ConnectionId id);
+    void start(ConnectionId id, LinkConnection &connection);
+    void answered(ConnectionId id, WireReply wire);
+    void idleClosed(ConnectionId id);
+    void timedOut(ConnectionId id);
+    void drop(ConnectionId id);
+    void connectionLost();
+    void holdCold(const RunningExchange &exchange);
+    void judge(const RunningExchange &exchange, const ShardReply &reply);
+    void learn(const RunningExchange &exchange, const TargetNotice &notice);
+    void countSuccess(const RunningExchange &exchange, const TargetNotice &notice);
+    void probeAnswered(const WireReply &wire);
+    void startProbe(ConnectionId id, LinkConnection &connection);
+    void suspectFellows(TimePoint sentAt);
+    void process(TargetEvent event, std::string_view cause);
+    std::function<void(WireReply)> replyHandler(ConnectionId id);
+
+    LinkEnvironment environment_;
+    LinkAddress address_;
+    LinkLimits limits_;
+    TargetMachine machine_;
+    ConcurrencyLimit limit_;
+    std::map<ConnectionId, LinkConnection> connections_; // Invariant: at most limits_.connections entries.
+    std::uint64_t lastConnection_ = 0;
+    std::uint64_t lastExchange_ = 0;
+    unsigned inFlight_ = 0;            // Invariant: exchanges that are work, on all connections.
+    std::vector<TimePoint> coldHolds_; // Work on the cold share whose end at the target is not known before then.
+    std::string bootId_;
+    std::vector<std::int64_t> snapshots_;
+    Duration meanLatency_{};
+    std::optional<TimePoint> lastAnswer_;
+    unsigned successes_ = 0; // Since the last cold start began.
+    unsigned growth_ = 0;    // Requests beyond the first that a warming target is given.
+    bool listedLeaving_ = false;
+    TimePoint nextConnect_{};
+    Duration connectBackoff_;
+    std::shared_ptr<int> alive_; // Handlers hold it weakly, so that none outlives the link.
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/core/Endpoint.h
@@ -0,0 +1,28 @@
+/*
+ * Part core: an IP address and port.
+ */
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace magnoliaspan {
+
+/// \brief IPv4 address in dotted form with a port; never a host name.
+struct Endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const Endpoint &) const = default;
+
+    /// \returns the endpoint written as ADDRESS:PORT, or nothing when \p text is not one.
+    static std::optional<Endpoint> parse(std::string_view text);
+
+    /// \returns ADDRESS:PORT.
+    std::string toString() const;
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/net/HttpPlatformSource.cpp
@@ -0,0 +1,160 @@
+/*
+ * Part net: one connection a call, so that no answer can belong to another one.
+ */
+#include "net/HttpPlatformSource.h"
+
+#include "request/JsonFields.h"
+#include "transport/TransportError.h"
+
+#include <fmt/format.h>
+
+namespace magnoliaspan {
+
+using internal::Json;
+using internal::JsonFields;
+
+namespace {
+
+constexpr std::chrono::milliseconds watchTime{5'000};
+constexpr Duration answerTime = std::chrono::seconds(2);
+constexpr unsigned statusOk = 200;
+
+std::string query(std::int64_t after)
+{
+    return after < 0 ? std::string() : fmt::format("&after={}&wait_ms={}", after, watchTime.count());
+}
+
+std::optional<Json> parseReply(const WireReply &reply)
+{
+    if (reply.error || reply.status != statusOk) {
+        return std::nullopt;
+    }
+    return internal::parseObject(reply.body);
+}
+
+} // namespace
+
+/// One call; it owns itself through the handlers that wait for it.
+class HttpPlatformSource::Call : public std::enable_shared_from_this<Call>
+{
+public:
+    Call(Scheduler &scheduler, std::function<void(const WireReply &)> handler)
+        : scheduler_(scheduler)
+        , handler_(std::move(handler))
+    {
+    }
+
+    void start(Transport &transport, const Endpoint &endpoint, std::string path, TimePoint limit)
+    {
+        timer_ = scheduler_.callAt(limit, [self = shared_from_this()] { self->end({TransportError::Silent, true, 0, ""}); });
+        connection_ = transport.connect(
+            endpoint, [self = shared_from_this(), path = std::move(path)](std::error_code error) { self->connected(error, path); }, [] {});
+    }
+
+private:
+    void connected(std::error_code error, const std::string &path)
+    {
+        if (error) {
+            end({error, false, 0, ""});
+            return;
+        }
+        connection_->exchange({path, "", ""}, [self = shared_from_this()](const WireReply &reply) { self->end(reply); });
+    }
+
+    void end(const WireReply &reply)
+    {
+        if (!handler_) {
+            return;
+        }
+        const auto handler = std::move(handler_);
+        handler_ = nullptr;
+        scheduler_.cancel(timer_);
+        const auto self = shared_from_this();
+        connection_->close();
+        handler(reply);
+    }
+
+    Scheduler &scheduler_;
+    std::function<void(const WireReply &)> handler_;
+    std::unique_ptr<Connection> connection_;
+    TimerId timer_ = TimerId::None;
+};
+
+HttpPlatformSource::HttpPlatformSource(const Clock &clock,
+                                       Scheduler &scheduler,
+                                       Transport &transport,
+                                       Endpoint endpoint,
+                                       std::string environment)
+    : clock_(clock)
+    , scheduler_(scheduler)
+    , transport_(transport)
+    , endpoint_(std::move(endpoint))
+    , environment_(std::move(environment))
+    , alive_(std::make_shared<int>(0))
+{
+}
+
+HttpPlatformSource::~HttpPlatformSource() = default;
+
+void HttpPlatformSource::get(std::string path, std::function<void(const WireReply &)> handler)
+{
+    auto guarded = [alive = std::weak_ptr<int>(alive_), handler = std::move(handler)](const WireReply &reply) {
+        if (!alive.expired()) {
+            handler(reply);
+        }
+    };
+    const auto call = std::make_shared<Call>(scheduler_, std::move(guarded));
+    call->start(transport_, endpoint_, std::move(path), clock_.now() + watchTime + answerTime);
+}
+
+void HttpPlatformSource::watchDocument(std::int64_t after, std::function<void(DocumentReading)> handler)
+{
+    get(fmt::format("/v1/document?environment={}{}", environment_, query(after)), [handler = std::move(handler)](const WireReply &reply) {
+        DocumentReading reading;
+        reading.error = reply.error ? reply.error : make_error_code(TransportError::MalformedReply);
+        if (const auto json = parseReply(reply)) {
+            JsonFields fields(*json);
+            fields.read("revision", reading.revision);
+            fields.read("changed", reading.changed);
+            fields.read("text", reading.text);
+            if (fields.good()) {
+                reading.error = {};
+            }
+        }
+        handler(std::move(reading));
+    });
+}
+
+void HttpPlatformSource::watchMembership(std::int64_t after, std::function<void(MembershipReading)> handler)
+{
+    get(fmt::format("/v1/membership?environment={}{}", environment_, query(after)), [handler = std::move(handler)](const WireReply &reply) {
+        MembershipReading reading;
+        reading.error = reply.error ? reply.error : make_error_code(TransportError::MalformedReply);
+        if (const auto json = parseReply(reply)) {
+            JsonFields fields(*json);
+            fields.read("revision", reading.revision);
+            fields.read("changed", reading.changed);
+            const Json *members = fields.array("members");
+            for (const Json &member : members == nullptr ? Json::array() : *members) {
+                if (!member.is_object()) {
+                    fields.fail("members", "an array of objects");
+                    break;
+                }
+                JsonFields memberFields(member);
+                std::string name;
+                std::string state;
+                memberFields.read("target", name);
+                memberFields.read("state", state);
+                if (memberFields.good()) {
+                    reading.targets[name] = state == "leaving" ? MemberState::Leaving : MemberState::Live;
+                }
+            }
+            if (fields.good()) {
+                reading.error = {};
+            }
+        }
+        handler(std::move(reading));
+    });
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/net/HttpServer.cpp
@@ -0,0 +1,336 @@
+/*
+ * Part net: the server side over Boost.Beast.
+ */
+#include "net/HttpServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+#include <optional>
+#include <set>
+#include <sys/socket.h>
+
+namespace magnoliaspan {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr int listenBacklog = 1'024;
+constexpr Duration acceptPause = std::chrono::milliseconds(50);
+
+std::string field(const http::request<http::string_body> &request, std::string_view name)
+{
+    const auto value = request[boost::beast::string_view(name.data(), name.size())];
+    return {value.data(), value.size()};
+}
+
+ServiceRequest toService(http::request<http::string_body> &&request)
+{
+    ServiceRequest result;
+    result.method = std::string(request.method_string());
+    result.target = std::string(request.target());
+    result.contentType = field(request, "Content-Type");
+    result.requestId = field(request, "X-Request-Id");
+    result.idempotencyKey = field(request, "Idempotency-Key");
+    result.authorization = field(request, "X-Peer-Authorization");
+    result.body = std::move(request.body());
+    return result;
+}
+
+ServiceReply malformed(boost::system::error_code error)
+{
+    unsigned status = 400;
+    if (error == http::error::body_limit) {
+        status = 413;
+    } else if (error == http::error::header_limit) {
+        status = 431;
+    }
+    ServiceReply reply;
+    reply.status = status;
+    reply.contentType = "application/problem+json";
+    reply.body = fmt::format(
+        R"({{"type":"urn:magnoliaspan:malformed_http","title":"malformed_http","status":{},"detail":"{}","verdict":"not_run"}})",
+        status,
+        error.message());
+    reply.close = true;
+    return reply;
+}
+
+} // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl>
+{
+public:
+    class Session;
+
+    Impl(EventLoop &loop, Service &service, const HttpServerLimits &limits)
+        : context(loop.context())
+        , service(service)
+        , limits(limits)
+        , acceptor(context)
+        , acceptTimer(context)
+    {
+    }
+
+    std::error_code listen(const Endpoint &endpoint)
+    {
+        const tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
+        boost::system::error_code error;
+        acceptor.open(address.protocol(), error);
+        if (!error) {
+            acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        }
+        if (!error) {
+            acceptor.bind(address, error);
+        }
+        if (!error) {
+            acceptor.listen(listenBacklog, error);
+        }
+        if (!error) {
+            accept();
+        }
+        return error;
+    }
+
+    void accept();
+
+    asio::io_context &context;
+    Service &service;
+    HttpServerLimits limits;
+    tcp::acceptor acceptor;
+    asio::steady_timer acceptTimer;
+    std::set<std::shared_ptr<Session>> sessions;
+    bool closing = false; // Whether replies tell requesters to close.
+};
+
+/// One accepted connection.
+class HttpServer::Impl::Session : public std::enable_shared_from_this<Session>
+{
+public:
+    Session(std::shared_ptr<Impl> server, tcp::socket socket)
+        : server_(std::move(server))
+        , socket_(std::move(socket))
+        , timer_(socket_.get_executor())
+    {
+    }
+
+    void waitForRequest()
+    {
+        if (buffer_.size() > 0) {
+            readRequest();
+            return;
+        }
+        expireAfter(server_->limits.idleTime);
+        socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](boost::system::error_code error) {
+            if (error) {
+                self->close();
+                return;
+            }
+            self->readRequest();
+        });
+    }
+
+    void close()
+    {
+        if (closed_) {
+            return;
+        }
+        closed_ = true;
+        timer_.cancel();
+        boost::system::error_code ignored;
+        socket_.shutdown(tcp::socket::shutdown_both, ignored);
+        socket_.close(ignored);
+        const auto self = shared_from_this();
+        server_->sessions.erase(self);
+        if (abandon_) {
+            const auto abandon = std::move(abandon_);
+            abandon_ = nullptr;
+            abandon();
+        }
+    }
+
+private:
+    void expireAfter(Duration duration)
+    {
+        timer_.expires_after(duration);
+        timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+            const auto self = weak.lock();
+            if (!error && self) {
+                self->close();
+            }
+        });
+    }
+
+    void readRequest()
+    {
+        expireAfter(server_->limits.requestTime);
+        parser_.emplace();
+        parser_->header_limit(static_cast<std::uint32_t>(server_->limits.maxHeaderBytes));
+        parser_->body_limit(server_->limits.maxBodyBytes);
+        http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+            self->requestRead(error);
+        });
+    }
+
+    void requestRead(boost::system::error_code error)
+    {
+        if (closed_) {
+            return;
+        }
+        timer_.cancel();
+        const bool left = error == http::error::end_of_stream || error == http::error::partial_message
+                          || error.category() == boost::system::system_category() || error.category() == asio::error::get_misc_category();
+        if (error && left) {
+            close();
+            return;
+        }
+        if (error) {
+            write(malformed(error));
+            return;
+        }
+        keepAlive_ = parser_->get().keep_alive();
+        const std::uint64_t number = ++requests_;
+        running_ = true;
+        watchRequester(number);
+        auto abandon = server_->service.handle(toService(parser_->release()), [weak = weak_from_this(), number](ServiceReply reply) {
+            const auto self = weak.lock();
+            if (self && self->requests_ == number && self->running_) {
+                self->write(std::move(reply));
+            }
+        });
+        if (running_ && !closed_) {
+            abandon_ = std::move(abandon);
+        } else if (closed_ && abandon) {
+            abandon();
+        }
+    }
+
+    // Notices a requester that leaves; further requests that arrive early wait in the socket.
+    void watchRequester(std::uint64_t number)
+    {
+        socket_.async_wait(tcp::socket::wait_read, [weak = weak_from_this(), number](boost::system::error_code error) {
+            const auto self = weak.lock();
+            if (!self || self->closed_ || !self->running_ || self->requests_ != number) {
+                return;
+            }
+            char byte = 0;
+            const auto received = ::recv(self->socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (error || received == 0) {
+                self->close();
+            }
+        });
+    }
+
+    void write(ServiceReply reply)
+    {
+        running_ = false;
+        abandon_ = nullptr;
+        const bool close = reply.close || !keepAlive_ || server_->closing;
+        response_ = {};
+        response_.version(11);
+        response_.result(reply.status);
+        response_.set(http::field::content_type, reply.contentType);
+        response_.keep_alive(!close);
+        response_.body() = std::move(reply.body);
+        response_.prepare_payload();
+        expireAfter(server_->limits.requestTime);
+        http::async_write(socket_, response_, [self = shared_from_this(), close](boost::system::error_code error, std::size_t) {
+            if (error || close) {
+                self->close();
+                return;
+            }
+            self->timer_.cancel();
+            self->waitForRequest();
+        });
+    }
+
+    std::shared_ptr<Impl> server_;
+    tcp::socket socket_;
+    asio::steady_timer timer_;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    http::response<http::string_body> response_;
+    Service::Abandon abandon_;
+    std::uint64_t requests_ = 0;
+    bool running_ = false; // Whether the service owes a reply.
+    bool keepAlive_ = false;
+    bool closed_ = false;
+};
+
+void HttpServer::Impl::accept()
+{
+    acceptor.async_accept([weak = weak_from_this()](boost::system::error_code error, tcp::socket socket) {
+        const auto self = weak.lock();
+        if (!self || error == asio::error::operation_aborted) {
+            return;
+        }
+        if (error) {
+            // For want of file descriptors: try again when some may be free.
+            self->acceptTimer.expires_after(acceptPause);
+            self->acceptTimer.async_wait([weak](boost::system::error_code waitError) {
+                const auto waiting = weak.lock();
+                if (!waitError && waiting) {
+                    waiting->accept();
+                }
+            });
+            return;
+        }
+        if (self->sessions.size() < self->limits.maxConnections) {
+            boost::system::error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            auto session = std::make_shared<Session>(self, std::move(socket));
+            self->sessions.insert(session);
+            session->waitForRequest();
+        }
+        self->accept();
+    });
+}
+
+HttpServer::HttpServer(EventLoop &loop, Service &service, const HttpServerLimits &limits)
+    : impl_(std::make_shared<Impl>(loop, service, limits))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+    closeAll();
+}
+
+std::error_code HttpServer::listen(const Endpoint &endpoint)
+{
+    return impl_->listen(endpoint);
+}
+
+void HttpServer::announceClose()
+{
+    impl_->closing = true;
+}
+
+void HttpServer::stopAccepting()
+{
+    boost::system::error_code ignored;
+    impl_->acceptor.close(ignored);
+}
+
+void HttpServer::closeAll()
+{
+    const auto sessions = impl_->sessions;
+    for (const auto &session : sessions) {
+        session->close();
+    }
+}
+
+std::size_t HttpServer::connections() const
+{
+    return impl_->sessions.size();
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/request/FilterChain.cpp
@@ -0,0 +1,132 @@
+/*
+ * Part request: the filters' rules.
+ */
+#include "request/FilterChain.h"
+
+#include <array>
+#include <fmt/format.h>
+
+namespace magnoliaspan {
+
+namespace {
+
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusTooMany = 429;
+constexpr unsigned statusUnavailable = 503;
+constexpr int maxWaitParts = 4;
+
+/// Applies one filter; visited by FilterChain::check().
+class FilterVisitor
+{
+public:
+    FilterVisitor(RequestServices &services, ServingController &serving, const Admission &admission)
+        : services_(services)
+        , serving_(serving)
+        , admission_(admission)
+    {
+    }
+
+    std::optional<Refusal> operator()(const StageFilter &) const
+    {
+        if (serving_.takesRequests() && services_.configuration.current()) {
+            return std::nullopt;
+        }
+        return refusal(statusUnavailable, "not_serving", fmt::format("entry host '{}' is {}", services_.seat, toString(serving_.stage())));
+    }
+
+    std::optional<Refusal> operator()(const ZoneFilter &) const
+    {
+        if (services_.configuration.current()->zoneTakesWork(admission_.zone)) {
+            return std::nullopt;
+        }
+        return refusal(statusUnavailable, "zone_out", fmt::format("zone '{}' is taken out", admission_.zone));
+    }
+
+    std::optional<Refusal> operator()(const SystemFilter &) const
+    {
+        if (services_.configuration.current()->findSystem(admission_.system) != nullptr) {
+            return std::nullopt;
+        }
+        return refusal(statusNotFound, "unknown_system", fmt::format("system '{}' is not in the environment document", admission_.system));
+    }
+
+    std::optional<Refusal> operator()(const DeadlineFilter &) const
+    {
+        const Duration median = state().latency.median();
+        if (!admission_.timeout || *admission_.timeout >= median) {
+            return std::nullopt;
+        }
+        return refusal(
+            statusUnavailable,
+            "deadline_too_short",
+            fmt::format(
+                "deadline of {} us is below the median of {} us at '{}'", admission_.timeout->count(), median.count(), admission_.system));
+    }
+
+    std::optional<Refusal> operator()(const QuarantineFilter &) const
+    {
+        const Fingerprint fingerprint = fingerprintOf(admission_.system, admission_.content);
+        if (services_.quarantine.suspicion(fingerprint) != Suspicion::Quarantined) {
+            return std::nullopt;
+        }
+        return refusal(statusUnavailable, "quarantined", "targets were lost each time this request ran");
+    }
+
+    std::optional<Refusal> operator()(const LoadFilter &) const
+    {
+        const SystemSpec &spec = *services_.configuration.current()->findSystem(admission_.system);
+        if (state().inFlight >= spec.maxInFlight) {
+            return refusal(statusTooMany, "overloaded", fmt::format("{} requests for '{}' are in flight", state().inFlight, spec.name));
+        }
+        const Duration timeout = std::min(admission_.timeout.value_or(spec.hardDeadline), spec.hardDeadline);
+        const Duration waited = state().oldestWait(services_.clock.now());
+        if (waited > timeout / maxWaitParts) {
+            return refusal(
+                statusTooMany, "overloaded", fmt::format("requests for '{}' have waited {} us for a target", spec.name, waited.count()));
+        }
+        return std::nullopt;
+    }
+
+private:
+    static Refusal refusal(unsigned status, std::string code, std::string detail)
+    {
+        return {status, std::move(code), std::move(detail), Verdict::NotRun};
+    }
+
+    SystemState &state() const
+    {
+        return *services_.systems.find(admission_.system);
+    }
+
+    RequestServices &services_;
+    ServingController &serving_;
+    const Admission &admission_;
+};
+
+constexpr std::array<Filter, 6> chain = {StageFilter{}, ZoneFilter{}, SystemFilter{}, DeadlineFilter{}, QuarantineFilter{}, LoadFilter{}};
+
+} // namespace
+
+FilterChain::FilterChain(RequestServices &services, ServingController &serving)
+    : services_(services)
+    , serving_(serving)
+{
+}
+
+std::optional<Refusal> FilterChain::check(const Admission &admission) const
+{
+    const FilterVisitor visitor(services_, serving_, admission);
+    for (const Filter &filter : chain) {
+        if (auto refusal = std::visit(visitor, filter)) {
+            return refusal;
+        }
+    }
+    return std::nullopt;
+}
+
+std::span<const Filter> FilterChain::filters()
+{
+    return chain;
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/request/RequestServices.h
@@ -0,0 +1,42 @@
+/*
+ * Part request: the controllers and interfaces that running requests use.
+ */
+#pragma once
+
+#include "control/ConfigurationController.h"
+#include "control/PauseDetector.h"
+#include "control/QuarantineController.h"
+#include "control/SystemController.h"
+#include "control/TargetController.h"
+#include "core/Clock.h"
+#include "core/Counters.h"
+#include "core/Journal.h"
+#include "core/Scheduler.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace magnoliaspan {
+
+/// \brief References that outlive every request.
+struct RequestServices {
+    const Clock &clock;
+    Scheduler &scheduler;
+    Journal &journal;
+    Counters &counters;
+    ConfigurationController &configuration;
+    TargetController &targets;
+    SystemController &systems;
+    QuarantineController &quarantine;
+    PauseDetector &pause;
+    std::string seat; ///< Prefix of the ids of subrequests, which are unique over all entry hosts.
+
+    /// \returns the authorization of a request to another entry host.
+    std::function<std::string(std::string_view path, std::string_view body)> authorize;
+
+    /// \returns a number that no other operation of this process has.
+    std::function<std::uint64_t()> nextOperation;
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/request/Service.h
@@ -0,0 +1,44 @@
+/*
+ * Part request: what the entry host offers on its ports, without the transport.
+ */
+#pragma once
+
+#include <functional>
+#include <string>
+
+namespace magnoliaspan {
+
+/// \brief A request as it arrived on a port.
+struct ServiceRequest {
+    std::string method;
+    std::string target; ///< Path and query string.
+    std::string contentType;
+    std::string requestId; ///< From X-Request-Id, empty when absent.
+    std::string idempotencyKey;
+    std::string authorization; ///< Of a peer.
+    std::string body;
+};
+
+/// \brief The reply to a ServiceRequest.
+struct ServiceReply {
+    unsigned status = 200;
+    std::string contentType = "application/json";
+    std::string body;
+    bool close = false; ///< The connection ends after this reply.
+};
+
+/// \brief Answers requests of one port.
+class Service
+{
+public:
+    using ReplyHandler = std::function<void(ServiceReply reply)>;
+    using Abandon = std::function<void()>;
+
+    virtual ~Service() = default;
+
+    /// \brief Answers \p request through \p handler, now or later, once.
+    /// \returns what to call when the requester leaves before the reply; may be empty.
+    virtual Abandon handle(ServiceRequest request, ReplyHandler handler) = 0;
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/request/SingleShardOperation.h
@@ -0,0 +1,88 @@
+/*
+ * Part request: work for one shard: a caller's submit at its home, or a
+ * subrequest that another zone's entry host asks of this zone's targets.
+ *
+ * After the first byte of non-idempotent work has left, only the target's own
+ * "not run" allows another attempt.
+ */
+#pragma once
+
+#include "request/RequestServices.h"
+#include "request/ShardWork.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace magnoliaspan {
+
+/// \brief How the work for one shard ended.
+struct SingleShardResult {
+    Verdict verdict = Verdict::NotRun;
+    std::optional<ShardReply> reply; ///< The target's last answer, if any.
+    std::string failure;             ///< Why there is no answer; empty when there is one.
+};
+
+/// \brief Runs work for one shard with the attempts that are safe.
+class SingleShardOperation : public CapacityWaiter, public std::enable_shared_from_this<SingleShardOperation>
+{
+public:
+    using Handler = std::function<void(SingleShardResult result)>;
+
+    /// \param replicas target names from the shard map.
+    /// \param mayUsePeers false when another zone's entry host asked.
+    /// \param handler called once unless abandon() comes first.
+    SingleShardOperation(RequestServices &services,
+                         ShardWork work,
+                         std::string requestId,
+                         std::vector<std::string> replicas,
+                         TimePoint deadline,
+                         bool mayUsePeers,
+                         Handler handler);
+    ~SingleShardOperation() override;
+
+    void start();
+
+    /// \brief Gives up idempotent work whose caller left; other work runs to its end.
+    /// \returns whether it was given up.
+    bool abandon();
+
+    bool capacityFreed() override;
+
+private:
+    void trySend();
+    void dispatch(const Route &route, bool singleRun);
+    void replied(const std::string &linkName, bool viaPeer, bool singleRun, LinkReply reply);
+    void judgeLoss(const std::string &linkName, bool viaPeer, bool singleRun, const LinkReply &reply);
+    bool mayTryAgain(const LinkReply &reply) const;
+    void rememberTried(const std::string &linkName, const LinkReply &reply);
+    void end(SingleShardResult result);
+    void wake();
+    void arm();
+
+    RequestServices &services_;
+    ShardWork work_;
+    std::string requestId_;
+    std::vector<std::string> replicas_;
+    TimePoint deadline_;
+    bool mayUsePeers_;
+    Handler handler_; // Empty once called or abandoned.
+    std::uint64_t operation_;
+    Fingerprint fingerprint_;
+    SystemState *state_;
+    std::vector<std::string> tried_;
+    std::string failure_ = "no usable replica";
+    std::optional<ShardReply> lastReply_;
+    Verdict verdict_ = Verdict::NotRun;
+    TargetLink *link_ = nullptr; // Valid while running_.
+    ExchangeId exchange_ = ExchangeId::None;
+    bool running_ = false;
+    bool queued_ = false;
+    bool needsRetryToken_ = false;
+    unsigned attempts_ = 0;
+    TimePoint notBefore_;
+    TimerId timer_ = TimerId::None;
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/transport/TransportError.cpp
@@ -0,0 +1,49 @@
+/*
+ * Part transport: names of the transport errors.
+ */
+#include "transport/TransportError.h"
+
+#include <string>
+
+namespace magnoliaspan {
+
+namespace {
+
+class Category : public std::error_category
+{
+public:
+    const char *name() const noexcept override
+    {
+        return "transport";
+    }
+
+    std::string message(int value) const override
+    {
+        switch (static_cast<TransportError>(value)) {
+        case TransportError::ConnectFailed:
+            return "connect_failed";
+        case TransportError::ConnectionLost:
+            return "connection_lost";
+        case TransportError::MalformedReply:
+            return "malformed_reply";
+        case TransportError::Silent:
+            return "silent";
+        }
+        return "unknown";
+    }
+};
+
+} // namespace
+
+const std::error_category &transportCategory()
+{
+    static const Category category;
+    return category;
+}
+
+std::error_code make_error_code(TransportError error) // NOLINT(readability-identifier-naming): name fixed by the standard library
+{
+    return {static_cast<int>(error), transportCategory()};
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/transport/TransportError.h
@@ -0,0 +1,28 @@
+/*
+ * Part transport: error codes of exchanges, independent of the I/O library.
+ */
+#pragma once
+
+#include <system_error>
+
+namespace magnoliaspan {
+
+/// Why an exchange or connection failed.
+enum class TransportError {
+    ConnectFailed = 1, ///< The connection was refused or not answered.
+    ConnectionLost,    ///< The connection ended before a complete answer.
+    MalformedReply,    ///< The answer was not valid HTTP or exceeded its bounds.
+    Silent,            ///< No byte arrived within the progress deadline.
+};
+
+/// \returns the category of TransportError.
+const std::error_category &transportCategory();
+
+/// \returns \p error as an error code.
+std::error_code make_error_code(TransportError error);
+
+} // namespace magnoliaspan
+
+template <>
+struct std::is_error_code_enum<magnoliaspan::TransportError> : std::true_type {
+};
--- /dev/null
+++ b/tests/scenario/Judge.cpp
@@ -0,0 +1,112 @@
+/*
+ * Scenario language: the promises.
+ */
+#include "scenario/Judge.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace magnoliaspan::testing {
+
+namespace {
+
+using Json = nlohmann::json;
+
+} // namespace
+
+Judge::Judge(World &world, const DocumentBuilder &builder)
+    : world_(world)
+    , builder_(builder)
+{
+}
+
+void Judge::sent(const CallerRequest &request)
+{
+    requests_.push_back(request);
+}
+
+std::vector<std::string> Judge::verdict()
+{
+    broken_.clear();
+    for (const CallerRequest &request : requests_) {
+        const CallerOutcome &outcome = world_.outcomes().at(request.id);
+        if (request.key.empty() && outcome.answered && outcome.status == 200) {
+            judgeSearch(request, outcome);
+        }
+    }
+    judgeKeys();
+    judgeTargets();
+    return broken_;
+}
+
+void Judge::judgeSearch(const CallerRequest &request, const CallerOutcome &outcome)
+{
+    const Json answer = Json::parse(outcome.body);
+    const std::string prefix = fmt::format("snapshot{}.", answer["snapshot"].get<std::int64_t>());
+    std::set<std::string> shards;
+    for (const Json &hit : answer["hits"]) {
+        const auto id = hit["id"].get<std::string>();
+        if (!id.starts_with(prefix)) {
+            broken_.push_back(fmt::format("{}: hit {} is not from snapshot {}", request.id, id, prefix));
+        }
+        if (!shards.insert(id).second) {
+            broken_.push_back(fmt::format("{}: hit {} is merged twice", request.id, id));
+        }
+        if (hit["text"] != request.query) {
+            broken_.push_back(fmt::format("{}: hit {} answers another caller's query", request.id, id));
+        }
+    }
+    const auto answered = answer["coverage"]["answered"].get<std::size_t>();
+    const auto total = answer["coverage"]["total"].get<std::size_t>();
+    const auto missing = answer["coverage"]["missing"].size();
+    if (shards.size() > answered || answered + missing != total) {
+        broken_.push_back(
+            fmt::format("{}: coverage {}/{} with {} missing and {} shards of hits", request.id, answered, total, missing, shards.size()));
+    }
+}
+
+void Judge::judgeKeys()
+{
+    std::map<std::string, unsigned> runs;
+    for (const TargetDeclaration &target : builder_.targets) {
+        for (const auto &[key, count] : world_.record(target.name).runsByKey) {
+            runs[key] += count;
+        }
+    }
+    for (const auto &[key, count] : runs) {
+        if (count > 1) {
+            broken_.push_back(fmt::format("key {} ran {} times", key, count));
+        }
+    }
+    for (const CallerRequest &request : requests_) {
+        const CallerOutcome &outcome = world_.outcomes().at(request.id);
+        if (request.key.empty() || !outcome.answered) {
+            continue;
+        }
+        const Json answer = Json::parse(outcome.body);
+        const std::string verdict = answer["verdict"];
+        const bool otherPayload = answer.value("title", "") == "key_reused";
+        if (verdict == "not_run" && runs[request.key] > 0 && !otherPayload) {
+            broken_.push_back(fmt::format("{}: told not_run, but the key ran", request.id));
+        }
+        if (verdict == "ran" && runs[request.key] == 0) {
+            broken_.push_back(fmt::format("{}: told ran, but the key did not run", request.id));
+        }
+    }
+}
+
+void Judge::judgeTargets()
+{
+    for (const TargetDeclaration &target : builder_.targets) {
+        const TargetRecord record = world_.record(target.name);
+        if (record.overloads > 0) {
+            broken_.push_back(fmt::format("target {}: {} requests beyond what it bore while cold", target.name, record.overloads));
+        }
+        if (record.workWhileLeaving > 0) {
+            broken_.push_back(fmt::format("target {}: {} requests long after it began to leave", target.name, record.workWhileLeaving));
+        }
+    }
+}
+
+} // namespace magnoliaspan::testing
--- /dev/null
+++ b/tests/scenario/ProcessWorld.cpp
@@ -0,0 +1,417 @@
+/*
+ * Scenario language: acts on processes.
+ */
+#include "scenario/ProcessWorld.h"
+
+#include "config/DocumentReader.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <spawn.h>
+#include <sstream>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char **environ; // NOLINT(readability-redundant-declaration): POSIX leaves its declaration to the program
+
+namespace magnoliaspan::testing {
+
+namespace {
+
+constexpr Duration startTime = std::chrono::seconds(15);
+constexpr Duration askTime = std::chrono::seconds(5);
+constexpr Duration stepTime = std::chrono::milliseconds(20);
+
+} // namespace
+
+ProcessWorld::ProcessWorld(ProcessWorldSettings settings)
+    : settings_(std::move(settings))
+    , loop_(clock_)
+    , transport_(loop_)
+    , startedAt_(clock_.now())
+    , lastPort_(settings_.firstPort)
+{
+    std::filesystem::create_directories(settings_.directory);
+}
+
+ProcessWorld::~ProcessWorld()
+{
+    calls_.clear();
+    idle_.clear();
+    for (auto &[name, process] : processes_) {
+        if (process.pid > 0) {
+            ::kill(process.pid, SIGKILL);
+            ::waitpid(process.pid, nullptr, 0);
+        }
+    }
+}
+
+std::string ProcessWorld::file(const std::string &name) const
+{
+    return settings_.directory + "/" + name;
+}
+
+std::string ProcessWorld::nextAddress()
+{
+    return fmt::format("127.0.0.1:{}", ++lastPort_);
+}
+
+void ProcessWorld::spawn(const std::string &name, Process &process)
+{
+    std::vector<char *> arguments;
+    for (std::string &word : process.command) {
+        arguments.push_back(word.data());
+    }
+    arguments.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    const std::string logFile = file(name + ".log");
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int error = posix_spawn(&process.pid, arguments.front(), &actions, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0) {
+        throw ScriptError(fmt::format("cannot start {}", process.command.front()));
+    }
+    process.status = -1;
+}
+
+void ProcessWorld::start(DocumentBuilder &builder)
+{
+    std::map<std::string, std::string> real; // Addresses that targets listen on.
+    for (SeatDeclaration &seat : builder.seats) {
+        seat.peer = nextAddress();
+    }
+    for (TargetDeclaration &target : builder.targets) {
+        real[target.name] = nextAddress();
+        target.address = real[target.name];
+        if (settings_.linkedTargets.count(target.name) != 0) {
+            target.address = nextAddress();
+            relays_[target.name] = std::make_unique<Relay>(loop_, *Endpoint::parse(target.address), *Endpoint::parse(real[target.name]));
+        }
+    }
+    platformAddress_ = nextAddress();
+    platformControl_ = nextAddress();
+    Process &platform = processes_["platform"];
+    platform.command = {settings_.standIns, "platform", "--address=" + platformAddress_, "--control=" + platformControl_};
+    spawn("platform", platform);
+    publish(builder.text());
+    for (const TargetDeclaration &target : builder.targets) {
+        startTarget(target, real[target.name]);
+    }
+    for (const SeatDeclaration &seat : builder.seats) {
+        startHost(seat);
+    }
+    for (const SeatDeclaration &seat : builder.seats) {
+        waitReady(seat.name);
+    }
+}
+
+void ProcessWorld::startTarget(const TargetDeclaration &target, const std::string &address)
+{
+    Process &process = processes_[target.name];
+    process.address = address;
+    process.control = nextAddress();
+    const TargetTraits &traits = target.traits;
+    const auto list = [](const auto &values) { return fmt::format("{}", fmt::join(values, ",")); };
+    const std::string settings = fmt::format(
+        "shards={};snapshots={};slots={};queue={};cold_bears={};warm_after={};service={}us;cold_service={}us;lies={};starts_cold={}",
+        list(traits.shards),
+        list(traits.snapshots),
+        traits.slots,
+        traits.queue,
+        traits.coldBears,
+        traits.warmAfter,
+        traits.service.count(),
+        traits.coldService.count(),
+        traits.statusLies ? "yes" : "no",
+        traits.startsCold ? "yes" : "no");
+    process.command = {settings_.standIns,
+                       "target",
+                       "--name=" + target.name,
+                       "--address=" + address,
+                       "--control=" + process.control,
+                       "--traits=" + settings,
+                       "--record=" + file(target.name + ".record")};
+    spawn(target.name, process);
+}
+
+void ProcessWorld::startHost(const SeatDeclaration &seat)
+{
+    Process &process = processes_[seat.name];
+    process.address = nextAddress();
+    process.control = nextAddress();
+    const std::string path = file(seat.name + ".yaml");
+    std::ofstream(path) << fmt::format("seat: {}\nzone: {}\nenvironment: trial\ncaller_address: \"{}\"\npeer_address: "
+                                       "\"{}\"\nadmin_address: \"{}\"\nplatform_address: \"{}\"\n"
+                                       "peer_key: the key of the trial fleet\nshutdown_announce: 1s\nshutdown_limit: 5s\n",
+                                       seat.name,
+                                       seat.zone,
+                                       process.address,
+                                       seat.peer,
+                                       process.control,
+                                       platformAddress_);
+    process.command = {settings_.product, "serve", "--settings=" + path};
+    spawn(seat.name, process);
+}
+
+void ProcessWorld::waitReady(const std::string &host)
+{
+    const TimePoint limit = clock_.now() + startTime;
+    while (clock_.now() < limit) {
+        const std::string body = status(host);
+        const auto json = nlohmann::json::parse(body, nullptr, false);
+        bool known = json.is_object() && json.value("ready", false);
+        for (const auto &target : known ? json["targets"] : nlohmann::json::array()) {
+            known = known && target["connections"] != 0;
+        }
+        if (known) {
+            return;
+        }
+        run(stepTime);
+    }
+    throw ScriptError(fmt::format("entry host {} did not become ready; its log is {}", host, file(host + ".log")));
+}
+
+void ProcessWorld::run(Duration duration)
+{
+    loop_.callAt(clock_.now() + duration, [this] { loop_.stop(); });
+    loop_.run();
+}
+
+Duration ProcessWorld::elapsed() const
+{
+    return clock_.now() - startedAt_;
+}
+
+WallTime ProcessWorld::callerTime() const
+{
+    return clock_.wallNow();
+}
+
+std::string ProcessWorld::ask(const std::string &address, const std::string &path, const std::string &body)
+{
+    std::string answer;
+    bool done = false;
+    const TimePoint limit = clock_.now() + askTime;
+    while (!done && clock_.now() < limit) {
+        std::unique_ptr<Connection> connection;
+        bool failed = false;
+        connection = transport_.connect(
+            *Endpoint::parse(address),
+            [&](std::error_code error) {
+                failed = static_cast<bool>(error);
+                if (failed) {
+                    loop_.stop();
+                    return;
+                }
+                connection->exchange({path, body, ""}, [&](const WireReply &reply) {
+                    done = !reply.error;
+                    failed = !done;
+                    answer = reply.body;
+                    loop_.stop();
+                });
+            },
+            [] {});
+        const TimerId timer = loop_.callAt(limit, [this] { loop_.stop(); });
+        loop_.run();
+        loop_.cancel(timer);
+        connection.reset();
+        if (failed) {
+            run(stepTime);
+        }
+    }
+    return answer;
+}
+
+void ProcessWorld::send(const CallerRequest &request)
+{
+    Call &call = calls_[request.id];
+    call.request = request;
+    call.sentAt = clock_.now();
+    outcomes_[request.id] = {};
+    auto &idle = idle_[request.host];
+    if (!idle.empty()) {
+        call.connection = std::move(idle.back());
+        idle.pop_back();
+        sendOn(request.id, {});
+        return;
+    }
+    call.connection = transport_.connect(
+        *Endpoint::parse(processes_.at(request.host).address),
+        [this, id = request.id](std::error_code error) { sendOn(id, error); },
+        [] {});
+}
+
+void ProcessWorld::sendOn(const std::string &id, std::error_code error)
+{
+    Call &call = calls_.at(id);
+    if (error) {
+        outcomes_.at(id).lost = true;
+        return;
+    }
+    WireRequest wire{call.request.path, call.request.body, "", {{"X-Request-Id", id}}};
+    if (!call.request.key.empty()) {
+        wire.headers.push_back({"Idempotency-Key", call.request.key});
+    }
+    call.connection->exchange(std::move(wire), [this, id](const WireReply &reply) { finished(id, reply); });
+}
+
+void ProcessWorld::finished(const std::string &id, const WireReply &reply)
+{
+    Call &call = calls_.at(id);
+    CallerOutcome &outcome = outcomes_.at(id);
+    outcome.took = clock_.now() - call.sentAt;
+    if (reply.error) {
+        outcome.lost = true;
+        return;
+    }
+    outcome.answered = true;
+    outcome.status = reply.status;
+    outcome.body = reply.body;
+    if (reply.status == 200) {
+        idle_[call.request.host].push_back(std::move(call.connection));
+    }
+}
+
+void ProcessWorld::leave(const std::string &id)
+{
+    outcomes_.at(id).lost = true;
+    calls_.at(id).connection.reset();
+}
+
+const std::map<std::string, CallerOutcome> &ProcessWorld::outcomes()
+{
+    return outcomes_;
+}
+
+bool ProcessWorld::setTarget(const std::string &target, const std::string &trait, const std::string &value)
+{
+    return ask(processes_.at(target).control, "/set", trait + " " + value) == "ok";
+}
+
+TargetRecord ProcessWorld::record(const std::string &target)
+{
+    TargetRecord record;
+    std::ifstream lines(file(target + ".record"));
+    for (std::string line; std::getline(lines, line);) {
+        TargetModel::count(record, line);
+    }
+    return record;
+}
+
+void ProcessWorld::kill(const std::string &name)
+{
+    Process &process = processes_.at(name);
+    ::kill(process.pid, SIGKILL);
+    ::waitpid(process.pid, nullptr, 0);
+    process.pid = 0;
+    idle_[name].clear();
+}
+
+void ProcessWorld::restart(const std::string &name, bool cold)
+{
+    Process &process = processes_.at(name);
+    if (process.pid > 0) {
+        kill(name);
+    }
+    if (cold) {
+        process.command.emplace_back("--cold");
+    }
+    spawn(name, process);
+    if (cold) {
+        process.command.pop_back();
+    }
+}
+
+void ProcessWorld::freeze(const std::string &name, bool frozen)
+{
+    ::kill(processes_.at(name).pid, frozen ? SIGSTOP : SIGCONT);
+}
+
+bool ProcessWorld::link(const std::string &, const std::string &to, const std::string &condition, Duration by)
+{
+    const auto relay = relays_.find(to);
+    return relay != relays_.end() && relay->second->set(condition, by);
+}
+
+bool ProcessWorld::platform(const std::string &mode)
+{
+    return ask(platformControl_, "/mode", mode) == "ok";
+}
+
+void ProcessWorld::list(const std::string &target, bool leaving)
+{
+    ask(platformControl_, "/list", target + (leaving ? " leaving" : " live"));
+}
+
+void ProcessWorld::publish(const std::string &text)
+{
+    ask(platformControl_, "/publish", text);
+}
+
+void ProcessWorld::stop(const std::string &host)
+{
+    ::kill(processes_.at(host).pid, SIGTERM);
+}
+
+std::string ProcessWorld::status(const std::string &host)
+{
+    const Process &process = processes_.at(host);
+    if (process.pid == 0 || exitStatus(host) >= 0) {
+        return "";
+    }
+    return ask(process.control, "/status", "");
+}
+
+std::uint64_t ProcessWorld::counter(const std::string &host, const std::string &name)
+{
+    std::istringstream lines(ask(processes_.at(host).control, "/metrics", ""));
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with(name + " ")) {
+            return std::stoull(line.substr(name.size() + 1));
+        }
+    }
+    return 0;
+}
+
+const std::vector<std::string> &ProcessWorld::log() const
+{
+    return log_;
+}
+
+void ProcessWorld::note(const std::string &line)
+{
+    log_.push_back(line);
+}
+
+pid_t ProcessWorld::processOf(const std::string &name) const
+{
+    return processes_.at(name).pid;
+}
+
+int ProcessWorld::exitStatus(const std::string &name)
+{
+    Process &process = processes_.at(name);
+    int status = 0;
+    if (process.pid > 0 && ::waitpid(process.pid, &status, WNOHANG) == process.pid) {
+        process.pid = 0;
+        process.status = WIFEXITED(status) ? WEXITSTATUS(status) : 128;
+    }
+    return process.status;
+}
+
+std::string ProcessWorld::callerAddress(const std::string &host) const
+{
+    return processes_.at(host).address;
+}
+
+std::string ProcessWorld::adminAddress(const std::string &host) const
+{
+    return processes_.at(host).control;
+}
+
+} // namespace magnoliaspan::testing
--- /dev/null
+++ b/tests/scenario/ProcessWorld.h
@@ -0,0 +1,107 @@
+/*
+ * Scenario language: real processes on loopback: entry hosts, targets and the platform.
+ */
+#pragma once
+
+#include "net/EventLoop.h"
+#include "net/HttpTransport.h"
+#include "net/SystemClock.h"
+#include "scenario/World.h"
+#include "standins/Relay.h"
+
+#include <memory>
+#include <set>
+#include <sys/types.h>
+
+namespace magnoliaspan::testing {
+
+/// Where the programs are and which ports may be used.
+struct ProcessWorldSettings {
+    std::string product;   ///< The magnoliaspan binary.
+    std::string standIns;  ///< This program, which also holds the stand-ins.
+    std::string directory; ///< For settings, records and logs.
+    std::uint16_t firstPort = 20'000;
+    std::set<std::string> linkedTargets; ///< Targets that are reached through a relay.
+};
+
+/// A world of processes that this program starts and ends.
+class ProcessWorld : public World
+{
+public:
+    explicit ProcessWorld(ProcessWorldSettings settings);
+    ~ProcessWorld() override;
+
+    void start(DocumentBuilder &builder) override;
+    void run(Duration duration) override;
+    Duration elapsed() const override;
+    WallTime callerTime() const override;
+    void send(const CallerRequest &request) override;
+    void leave(const std::string &id) override;
+    const std::map<std::string, CallerOutcome> &outcomes() override;
+    bool setTarget(const std::string &target, const std::string &trait, const std::string &value) override;
+    TargetRecord record(const std::string &target) override;
+    void kill(const std::string &name) override;
+    void restart(const std::string &name, bool cold) override;
+    void freeze(const std::string &name, bool frozen) override;
+    bool link(const std::string &from, const std::string &to, const std::string &condition, Duration by) override;
+    bool platform(const std::string &mode) override;
+    void list(const std::string &target, bool leaving) override;
+    void publish(const std::string &text) override;
+    void stop(const std::string &host) override;
+    std::string status(const std::string &host) override;
+    std::uint64_t counter(const std::string &host, const std::string &name) override;
+    const std::vector<std::string> &log() const override;
+    void note(const std::string &line) override;
+
+    /// \returns the process id of \p name, zero when it does not run.
+    pid_t processOf(const std::string &name) const;
+
+    /// \returns the exit status of an entry host that was stopped, or -1 while it runs.
+    int exitStatus(const std::string &name);
+
+    /// \returns the caller address of an entry host.
+    std::string callerAddress(const std::string &host) const;
+    std::string adminAddress(const std::string &host) const;
+
+private:
+    struct Process {
+        pid_t pid = 0;
+        std::vector<std::string> command;
+        std::string address; // Callers' or, of a target, its own.
+        std::string control; // Admin or control address.
+        int status = -1;
+    };
+
+    struct Call {
+        CallerRequest request;
+        TimePoint sentAt;
+        std::unique_ptr<Connection> connection;
+    };
+
+    std::string nextAddress();
+    void spawn(const std::string &name, Process &process);
+    void startTarget(const TargetDeclaration &target, const std::string &address);
+    void startHost(const SeatDeclaration &seat);
+    std::string ask(const std::string &address, const std::string &path, const std::string &body);
+    void waitReady(const std::string &host);
+    void sendOn(const std::string &id, std::error_code error);
+    void finished(const std::string &id, const WireReply &reply);
+    std::string file(const std::string &name) const;
+
+    ProcessWorldSettings settings_;
+    SystemClock clock_;
+    EventLoop loop_;
+    HttpTransport transport_;
+    TimePoint startedAt_;
+    std::uint16_t lastPort_;
+    std::map<std::string, Process> processes_;
+    std::map<std::string, std::unique_ptr<Relay>> relays_;
+    std::map<std::string, Call> calls_;
+    std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle_; // Callers' connections, by host.
+    std::map<std::string, CallerOutcome> outcomes_;
+    std::vector<std::string> log_;
+    std::string platformAddress_;
+    std::string platformControl_;
+};
+
+} // namespace magnoliaspan::testing
--- /dev/null
+++ b/tests/scenario/Runner.h
@@ -0,0 +1,68 @@
+/*
+ * Scenario language: runs the steps of a script on a world.
+ */
+#pragma once
+
+#include "scenario/Judge.h"
+#include "scenario/World.h"
+
+#include <memory>
+#include <span>
+#include <string>
+
+namespace magnoliaspan::testing {
+
+/// Figures of one load step.
+struct LoadReport {
+    unsigned sent = 0;
+    unsigned answered = 0; ///< Status 200.
+    unsigned refused = 0;
+    unsigned lost = 0; ///< No answer at all.
+    double p50Ms = 0;
+    double p99Ms = 0;
+    double p999Ms = 0;
+    double meanCoverage = 0; ///< Of those answered.
+    double worstCoverage = 1;
+    std::map<std::string, unsigned> refusalsByVerdict;
+    std::map<std::string, unsigned> refusalsByCode;
+};
+
+/// Runs one script.
+class Runner
+{
+public:
+    explicit Runner(World &world);
+
+    /// Throws ScriptError when a step does not hold or a promise is broken.
+    void run(std::span<const Step> steps);
+
+    /// \returns the figures of the load step \p id.
+    LoadReport report(const std::string &id) const;
+
+    const DocumentBuilder &builder() const;
+
+private:
+    void step(const Step &step);
+    void startOnce();
+    void search(const Step &step, const std::string &id, const std::string &host, const std::string &query);
+    void submit(const Step &step);
+    void load(const Step &step);
+    void publish(const Step &step);
+    void link(const Step &step);
+    void set(const Step &step);
+    void expect(const Step &step);
+    void expectTarget(const Step &step);
+    void expectHost(const Step &step);
+    void expectLoad(const Step &step);
+    void compare(const Step &step, const std::string &name, const std::string &expected, const std::string &found) const;
+    Duration duration(const Step &step, const std::string &text) const;
+
+    World &world_;
+    DocumentBuilder builder_;
+    Judge judge_;
+    bool started_ = false;
+    std::map<std::string, std::string> keys_;               // Idempotency keys by token.
+    std::map<std::string, std::vector<std::string>> loads_; // Request ids by load.
+};
+
+} // namespace magnoliaspan::testing
--- /dev/null
+++ b/tests/standins/Relay.cpp
@@ -0,0 +1,232 @@
+/*
+ * Test stand-in: the relay over Boost.Asio.
+ */
+#include "standins/Relay.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <limits>
+#include <set>
+#include <vector>
+
+namespace magnoliaspan::testing {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
+
+} // namespace
+
+class Relay::Impl : public std::enable_shared_from_this<Relay::Impl>
+{
+public:
+    class Pair;
+
+    Impl(EventLoop &loop, const Endpoint &listen, Endpoint upstream)
+        : context(loop.context())
+        , acceptor(context)
+        , listen(asio::ip::make_address(listen.address), listen.port)
+        , upstream(std::move(upstream))
+    {
+    }
+
+    void open();
+    void accept();
+    void breakPairs();
+
+    asio::io_context &context;
+    tcp::acceptor acceptor;
+    tcp::endpoint listen;
+    Endpoint upstream;
+    std::set<std::shared_ptr<Pair>> pairs;
+    bool cut = false;
+    Duration delay{};
+    std::size_t nextRequestBytes = unlimited;
+    std::size_t nextReplyBytes = unlimited;
+};
+
+/// The two halves of one relayed connection.
+class Relay::Impl::Pair : public std::enable_shared_from_this<Pair>
+{
+public:
+    Pair(std::shared_ptr<Impl> relay, tcp::socket client)
+        : relay_(std::move(relay))
+        , client_(std::move(client))
+        , server_(relay_->context)
+        , requestBytes_(relay_->nextRequestBytes)
+        , replyBytes_(relay_->nextReplyBytes)
+    {
+        relay_->nextRequestBytes = unlimited;
+        relay_->nextReplyBytes = unlimited;
+    }
+
+    void start()
+    {
+        const tcp::endpoint address(asio::ip::make_address(relay_->upstream.address), relay_->upstream.port);
+        server_.async_connect(address, [self = shared_from_this()](boost::system::error_code error) {
+            if (error) {
+                self->close();
+                return;
+            }
+            boost::system::error_code ignored;
+            self->client_.set_option(tcp::no_delay(true), ignored);
+            self->server_.set_option(tcp::no_delay(true), ignored);
+            self->pump(self->client_, self->server_, self->requestBytes_, self->requestBuffer_);
+            self->pump(self->server_, self->client_, self->replyBytes_, self->replyBuffer_);
+        });
+    }
+
+    void silence()
+    {
+        silent_ = true;
+    }
+
+    void close()
+    {
+        const auto self = shared_from_this();
+        relay_->pairs.erase(self);
+        boost::system::error_code ignored;
+        // Without lingering the other end sees a reset, as from a crashed process.
+        client_.set_option(asio::socket_base::linger(true, 0), ignored);
+        client_.close(ignored);
+        server_.close(ignored);
+    }
+
+private:
+    using Buffer = std::vector<char>;
+
+    void pump(tcp::socket &from, tcp::socket &to, std::size_t &budget, Buffer &buffer)
+    {
+        constexpr std::size_t chunk = 16'384;
+        buffer.resize(chunk);
+        from.async_read_some(asio::buffer(buffer),
+                             [self = shared_from_this(), &from, &to, &budget, &buffer](boost::system::error_code error, std::size_t size) {
+                                 if (self->silent_ || self->relay_->cut) {
+                                     return;
+                                 }
+                                 if (error) {
+                                     self->close();
+                                     return;
+                                 }
+                                 self->forward(from, to, budget, buffer, size);
+                             });
+    }
+
+    void forward(tcp::socket &from, tcp::socket &to, std::size_t &budget, Buffer &buffer, std::size_t size)
+    {
+        const std::size_t passed = std::min(size, budget);
+        const bool breaks = passed < size || (budget != unlimited && passed == budget);
+        budget -= budget == unlimited ? 0 : passed;
+        const auto timer = std::make_shared<asio::steady_timer>(relay_->context, relay_->delay);
+        timer->async_wait([self = shared_from_this(), timer, &from, &to, &budget, &buffer, passed, breaks](boost::system::error_code) {
+            asio::async_write(to,
+                              asio::buffer(buffer.data(), passed),
+                              [self, &from, &to, &budget, &buffer, breaks](boost::system::error_code error, std::size_t) {
+                                  if (error || breaks) {
+                                      self->close();
+                                      return;
+                                  }
+                                  self->pump(from, to, budget, buffer);
+                              });
+        });
+    }
+
+    std::shared_ptr<Impl> relay_;
+    tcp::socket client_;
+    tcp::socket server_;
+    std::size_t requestBytes_;
+    std::size_t replyBytes_;
+    Buffer requestBuffer_;
+    Buffer replyBuffer_;
+    bool silent_ = false;
+};
+
+void Relay::Impl::open()
+{
+    acceptor.open(listen.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind(listen);
+    acceptor.listen();
+    accept();
+}
+
+void Relay::Impl::accept()
+{
+    acceptor.async_accept([weak = weak_from_this()](boost::system::error_code error, tcp::socket socket) {
+        const auto self = weak.lock();
+        if (!self || error) {
+            return;
+        }
+        const auto pair = std::make_shared<Pair>(self, std::move(socket));
+        self->pairs.insert(pair);
+        if (!self->cut) {
+            pair->start();
+        }
+        self->accept();
+    });
+}
+
+void Relay::Impl::breakPairs()
+{
+    const auto standing = pairs;
+    for (const auto &pair : standing) {
+        pair->close();
+    }
+}
+
+Relay::Relay(EventLoop &loop, const Endpoint &listen, const Endpoint &upstream)
+    : impl_(std::make_shared<Impl>(loop, listen, upstream))
+{
+    impl_->open();
+}
+
+Relay::~Relay()
+{
+    boost::system::error_code ignored;
+    impl_->acceptor.close(ignored);
+    impl_->breakPairs();
+}
+
+bool Relay::set(const std::string &condition, Duration by)
+{
+    if (condition == "heal") {
+        impl_->cut = false;
+        impl_->delay = Duration::zero();
+        if (!impl_->acceptor.is_open()) {
+            impl_->open();
+        }
+    } else if (condition == "cut") {
+        impl_->cut = true;
+    } else if (condition == "refuse") {
+        boost::system::error_code ignored;
+        impl_->acceptor.close(ignored);
+        impl_->breakPairs();
+    } else if (condition == "silence") {
+        for (const auto &pair : impl_->pairs) {
+            pair->silence();
+        }
+    } else if (condition == "delay") {
+        impl_->delay = by;
+    } else {
+        return false;
+    }
+    return true;
+}
+
+void Relay::breakAfterRequestBytes(std::size_t bytes)
+{
+    impl_->nextRequestBytes = bytes;
+}
+
+void Relay::breakAfterReplyBytes(std::size_t bytes)
+{
+    impl_->nextReplyBytes = bytes;
+}
+
+} // namespace magnoliaspan::testing
