Cold replicas get their share, submits prove their connection first

A target that restarted cold stayed cold for ever. Cause: one answer of a cold start (30 ms) raised its mean latency, so that it lost every choice between two. Seen in cold_restart (1 request in 4 s, state "unknown" at the end) and leaving_target. Change: one choice in eight goes to a cold replica, and the latency of a cold start is forgotten at its end. 2. A status endpoint that always shows the first boot id made the link doubt the target every two seconds and start its count of successes anew. Change: only a boot id that the status did not show before is news. 3. Change: a status request goes ahead on the same connection unless it answered within 20 ms; if that is lost the verdict is "not run" and another connection is tried. Ruled out: always a new connection, at 1 to 6 ms each and one more of the target's connections.

The judge counted a refusal as false when the caller sent the key again later and that send ran. The trace of submit_failures (nowhere, then back) shows the refusal was true when it was given; the judge now asks for a later send that may have run it, and still fails any key that runs twice.

--- a/src/app/CallerService.cpp
+++ b/src/app/CallerService.cpp
@@ -77,7 +77,7 @@
 std::optional<Refusal>
 CallerService::admit(std::string_view system, std::string_view content, std::optional<Duration> timeout, std::string_view requestId)
 {
-    const auto refusal = filters_.check({system, content, timeout, zone_});
+    auto refusal = filters_.check({system, content, timeout, zone_});
     if (refusal) {
         services_.counters.add(fmt::format("magnoliaspan_refusals_total{{code=\"{}\"}}", refusal->code));
         services_.journal.note(
@@ -149,14 +149,13 @@
         return {};
     }
     const TimePoint deadline = deadlineOf(call.system, call.timeout);
-    submits_.submit(
-        std::move(call), *key, deadline, [requestId, token = active_.begin(), handler = std::move(handler)](const SubmitResult &result) {
-            if (result.code.empty()) {
-                handler({result.status, "application/json", encode(result, requestId), false});
-                return;
-            }
-            handler(problem({result.status, result.code, result.detail, result.verdict}, requestId));
-        });
+    submits_.submit(call, *key, deadline, [requestId, token = active_.begin(), handler = std::move(handler)](const SubmitResult &result) {
+        if (result.code.empty()) {
+            handler({result.status, "application/json", encode(result, requestId), false});
+            return;
+        }
+        handler(problem({result.status, result.code, result.detail, result.verdict}, requestId));
+    });
     return {};
 }
 
--- a/src/app/SubmitRouter.cpp
+++ b/src/app/SubmitRouter.cpp
@@ -74,13 +74,13 @@
     return ledger_;
 }
 
-void SubmitRouter::submit(SubmitCall call, const IdempotencyKey &key, TimePoint deadline, Handler handler)
+void SubmitRouter::submit(const SubmitCall &call, const IdempotencyKey &key, TimePoint deadline, Handler handler)
 {
     const EnvironmentPtr document = services_.configuration.current();
     const SeatSpec &home = homeOf(*document, key.text);
     services_.journal.note(Part::Submit, call.requestId, fmt::format("home chosen seat={} key={}", home.name, key.text));
     if (home.name == services_.seat) {
-        submitAtHome(std::move(call), key, deadline, std::move(handler));
+        submitAtHome(call, key, deadline, std::move(handler));
         return;
     }
     forward(call, home, deadline, std::move(handler));
@@ -90,7 +90,7 @@
 {
     TargetLink *link = services_.targets.findPeer(home.name);
     const TimePoint now = services_.clock.now();
-    const auto permit = link == nullptr ? std::nullopt : link->permit(ConnectionNeed::FreshOrJustProved, deadline);
+    const auto permit = link == nullptr ? std::nullopt : link->permit(deadline);
     if (!permit || !services_.pause.fresh(now)) {
         handler(refused(
             call.refusedBeforeHome(), "home_unreachable", fmt::format("seat '{}', the home of the key, cannot be reached", home.name)));
@@ -119,7 +119,7 @@
     link->send(*permit, ConnectionNeed::FreshOrJustProved, std::move(request));
 }
 
-void SubmitRouter::submitAtHome(SubmitCall call, const IdempotencyKey &key, TimePoint deadline, Handler handler)
+void SubmitRouter::submitAtHome(const SubmitCall &call, const IdempotencyKey &key, TimePoint deadline, Handler handler)
 {
     const EnvironmentPtr document = services_.configuration.current();
     const SeatSpec &home = homeOf(*document, key.text);
--- a/src/app/SubmitRouter.h
+++ b/src/app/SubmitRouter.h
@@ -31,10 +31,10 @@
     void apply(const EnvironmentDocument &document);
 
     /// \brief Runs \p call here when this seat is the home of its key, else at its home.
-    void submit(SubmitCall call, const IdempotencyKey &key, TimePoint deadline, Handler handler);
+    void submit(const SubmitCall &call, const IdempotencyKey &key, TimePoint deadline, Handler handler);
 
     /// \brief Runs \p call here; refuses it when this seat is not the home of its key.
-    void submitAtHome(SubmitCall call, const IdempotencyKey &key, TimePoint deadline, Handler handler);
+    void submitAtHome(const SubmitCall &call, const IdempotencyKey &key, TimePoint deadline, Handler handler);
 
     /// \returns the seat that is home of \p key in \p document.
     static const SeatSpec &homeOf(const EnvironmentDocument &document, std::string_view key);
--- a/src/control/TargetController.cpp
+++ b/src/control/TargetController.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr unsigned connectionsPerPeer = 64;
+// One choice in so many goes to a cold replica although a warm one is free;
+// without such a share a cold replica loses every comparison and stays cold.
+constexpr unsigned choicesPerWarmUp = 8;
 
 bool contains(std::span<const std::string> names, std::string_view name)
 {
@@ -150,13 +153,18 @@
 std::optional<Route> TargetController::pick(const ReplicaWanted &wanted, NoRoute &why)
 {
     bool anyUsable = false;
-    const auto local = localCandidates(wanted, anyUsable);
+    auto local = localCandidates(wanted, anyUsable);
     if (!local.empty()) {
         const Candidate &chosen = lessLoaded(local);
-        return Route{chosen.link, chosen.permit, false, local.size() > 1 ? "less loaded of two" : "only one admissible"};
+        return Route{chosen.link,
+                     chosen.permit,
+                     false,
+                     chosen.permit.cold ? "cold share"
+                     : local.size() > 1 ? "less loaded of two"
+                                        : "only one admissible"};
     }
     if (wanted.mayUsePeers) {
-        const auto remote = peerCandidates(wanted, anyUsable);
+        auto remote = peerCandidates(wanted, anyUsable);
         if (!remote.empty()) {
             const Candidate &chosen = lessLoaded(remote);
             return Route{chosen.link, chosen.permit, true, "no admissible replica in this zone"};
@@ -182,7 +190,7 @@
             continue;
         }
         anyUsable = true;
-        const auto permit = link.permit(wanted.need, wanted.deadline);
+        const auto permit = link.permit(wanted.deadline);
         if (permit) {
             candidates.push_back({&link, *permit});
         }
@@ -204,7 +212,7 @@
         if (zones.count(link->address().zone) == 0 || contains(wanted.avoid, seat)) {
             continue;
         }
-        const auto permit = link->permit(wanted.need, wanted.deadline);
+        const auto permit = link->permit(wanted.deadline);
         if (permit) {
             candidates.push_back({link.get(), *permit});
         }
@@ -213,8 +221,17 @@
     return candidates;
 }
 
-const TargetController::Candidate &TargetController::lessLoaded(const std::vector<Candidate> &candidates)
+const TargetController::Candidate &TargetController::lessLoaded(std::vector<Candidate> &candidates)
 {
+    const auto warmEnd
+        = std::stable_partition(candidates.begin(), candidates.end(), [](const Candidate &candidate) { return !candidate.permit.cold; });
+    const auto warm = static_cast<std::size_t>(warmEnd - candidates.begin());
+    const bool mixed = warm > 0 && warm < candidates.size();
+    if (mixed && random_() % choicesPerWarmUp == 0) {
+        candidates.erase(candidates.begin(), warmEnd);
+    } else if (mixed) {
+        candidates.erase(warmEnd, candidates.end());
+    }
     if (candidates.size() == 1) {
         return candidates.front();
     }
--- a/src/control/TargetController.h
+++ b/src/control/TargetController.h
@@ -23,7 +23,6 @@
     std::span<const std::string> replicas; ///< Target names from the pinned shard map.
     std::span<const std::string> avoid;    ///< Links already tried, by name.
     std::int64_t snapshot = 0;             ///< Zero when any will do.
-    ConnectionNeed need = ConnectionNeed::Any;
     TimePoint deadline;
     bool mayUsePeers = true; ///< False for work that another zone's entry host asked for.
 };
@@ -87,7 +86,7 @@
     void applySeats(const EnvironmentDocument &document);
     std::vector<Candidate> localCandidates(const ReplicaWanted &wanted, bool &anyUsable) const;
     std::vector<Candidate> peerCandidates(const ReplicaWanted &wanted, bool &anyUsable);
-    const Candidate &lessLoaded(const std::vector<Candidate> &candidates);
+    const Candidate &lessLoaded(std::vector<Candidate> &candidates);
 
     LinkEnvironment environment_;
     std::string seat_;
--- a/src/control/TargetLink.cpp
+++ b/src/control/TargetLink.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-constexpr Duration justProvedWindow = std::chrono::seconds(1);
+constexpr Duration justProvedWindow = std::chrono::milliseconds(20);
+constexpr Duration proofTimeout = std::chrono::milliseconds(100);
 constexpr Duration idleProofInterval = std::chrono::seconds(2);
 constexpr Duration probeTimeout = std::chrono::milliseconds(500);
 constexpr Duration connectTimeout = std::chrono::seconds(1);
@@ -108,12 +109,12 @@
     limit_.setMaximum(limits.connections);
 }
 
-std::optional<SendPermit> TargetLink::permit(ConnectionNeed need, TimePoint deadline) const
+std::optional<SendPermit> TargetLink::permit(TimePoint deadline) const
 {
     if (!isWork(state())) {
         return std::nullopt;
     }
-    const auto choice = choose(need);
+    const auto choice = choose();
     if (!choice) {
         return std::nullopt;
     }
@@ -162,7 +163,7 @@
     return count;
 }
 
-std::optional<TargetLink::Choice> TargetLink::choose(ConnectionNeed need) const
+std::optional<TargetLink::Choice> TargetLink::choose() const
 {
     const TimePoint now = environment_.clock.now();
     const LinkConnection *best = nullptr;
@@ -171,10 +172,6 @@
         if (connection.state != ConnectionState::Idle) {
             continue;
         }
-        const TimePoint lastLife = std::max(connection.lastAnswer, connection.connectedAt);
-        if (need == ConnectionNeed::FreshOrJustProved && now - lastLife > justProvedWindow) {
-            continue;
-        }
         const bool better
             = best == nullptr || std::pair(connection.proved, connection.lastAnswer) > std::pair(best->proved, best->lastAnswer);
         if (better) {
@@ -193,13 +190,14 @@
 
 ExchangeId TargetLink::send(const SendPermit &permit, ConnectionNeed need, LinkRequest request)
 {
-    const auto choice = choose(need);
+    const auto choice = choose();
     assert(choice && "send() needs a permit of the same instant");
     RunningExchange exchange;
     exchange.id = ExchangeId{++lastExchange_};
     exchange.request = std::move(request);
     exchange.sentAt = environment_.clock.now();
     exchange.cold = permit.cold;
+    exchange.need = need;
     const ExchangeId id = exchange.id;
     ++inFlight_;
     if (choice->existing == ConnectionId::None) {
@@ -294,13 +292,18 @@
     connection.state = ConnectionState::Busy;
     RunningExchange &exchange = *connection.exchange;
     exchange.sentAt = environment_.clock.now();
+    const TimePoint lastLife = std::max(connection.lastAnswer, connection.connectedAt);
+    exchange.proving = exchange.need == ConnectionNeed::FreshOrJustProved && exchange.sentAt - lastLife > justProvedWindow;
+    const TimePoint due
+        = exchange.proving ? std::min(exchange.request.silentAfter, exchange.sentAt + proofTimeout) : exchange.request.silentAfter;
     const std::weak_ptr<int> alive = alive_;
-    exchange.timer = environment_.scheduler.callAt(exchange.request.silentAfter, [this, alive, id] {
+    exchange.timer = environment_.scheduler.callAt(due, [this, alive, id] {
         if (!alive.expired()) {
             timedOut(id);
         }
     });
-    connection.connection->exchange(exchange.request.wire, replyHandler(id));
+    const WireRequest proof{std::string(statusPath), "", ""};
+    connection.connection->exchange(exchange.proving ? proof : exchange.request.wire, replyHandler(id));
 }
 
 std::function<void(WireReply)> TargetLink::replyHandler(ConnectionId id)
@@ -319,9 +322,15 @@
         return;
     }
     LinkConnection &connection = found->second;
+    environment_.scheduler.cancel(connection.exchange->timer);
+    if (connection.exchange->proving && !wire.error) {
+        connection.lastAnswer = environment_.clock.now();
+        start(id, connection);
+        return;
+    }
     RunningExchange exchange = std::move(*connection.exchange);
     connection.exchange.reset();
-    environment_.scheduler.cancel(exchange.timer);
+    wire.bytesSent = wire.bytesSent && !exchange.proving;
     if (!exchange.probe) {
         --inFlight_;
     }
@@ -420,6 +429,8 @@
     ++successes_;
     if (state() == TargetState::Cold && successes_ >= limits_.warmAfter && !notice.cold) {
         growth_ = 0;
+        // The latencies of the cold start say nothing about a warm target.
+        meanLatency_ = Duration::zero();
         process(TargetEvent::ColdStartEnded, "enough successes");
         return;
     }
@@ -447,8 +458,10 @@
     if (snapshots_.empty()) {
         snapshots_ = notice->snapshots;
     }
-    // The status lags, so that only a boot id that differs from the known one tells anything.
-    if (bootId_.empty() || notice->bootId == bootId_) {
+    // The status lags or misleads, so that only a boot id that it did not show before tells anything.
+    const bool news = notice->bootId != statusBootId_;
+    statusBootId_ = notice->bootId;
+    if (!news || bootId_.empty() || notice->bootId == bootId_) {
         return;
     }
     if (state() == TargetState::Leaving) {
@@ -495,7 +508,7 @@
     environment_.journal.note(Part::Target, "", fmt::format("connection silent target={}", address_.name));
     suspectFellows(exchange.sentAt);
     if (exchange.request.handler) {
-        exchange.request.handler({TransportError::Silent, true, std::nullopt});
+        exchange.request.handler({TransportError::Silent, !exchange.proving, std::nullopt});
     }
     environment_.capacityFreed();
 }
--- a/src/control/TargetLink.h
+++ b/src/control/TargetLink.h
@@ -28,7 +28,7 @@
 /// What an exchange needs of its connection.
 enum class ConnectionNeed {
     Any,               ///< Idempotent work: any usable connection.
-    FreshOrJustProved, ///< Non-idempotent work: a new connection or one that answered a moment ago.
+    FreshOrJustProved, ///< Non-idempotent work: a connection that is new or is proved right before.
 };
 
 /// Identifies an exchange of one link; zero names none.
@@ -91,7 +91,7 @@
     void setLimits(const LinkLimits &limits);
 
     /// \brief Asks whether work due at \p deadline may be sent now.
-    std::optional<SendPermit> permit(ConnectionNeed need, TimePoint deadline) const;
+    std::optional<SendPermit> permit(TimePoint deadline) const;
 
     /// \brief Sends one subrequest by a permit obtained at the same instant.
     ExchangeId send(const SendPermit &permit, ConnectionNeed need, LinkRequest request);
@@ -116,7 +116,9 @@
         TimePoint sentAt;
         TimerId timer = TimerId::None;
         bool cold = false;
-        bool probe = false; // A status probe, not work.
+        bool probe = false;   // A status probe, not work.
+        bool proving = false; // A status request goes ahead of the work, to prove the connection.
+        ConnectionNeed need = ConnectionNeed::Any;
     };
 
     struct LinkConnection {
@@ -133,7 +135,7 @@
         bool proved = false;
     };
 
-    std::optional<Choice> choose(ConnectionNeed need) const;
+    std::optional<Choice> choose() const;
     unsigned sharedBound(unsigned coldPermits) const;
     unsigned coldInFlight() const;
     ConnectionId open(std::optional<RunningExchange> exchange);
@@ -166,6 +168,7 @@
     unsigned inFlight_ = 0;            // Invariant: exchanges that are work, on all connections.
     std::vector<TimePoint> coldHolds_; // Work on the cold share whose end at the target is not known before then.
     std::string bootId_;
+    std::string statusBootId_; // Last one that the status showed.
     std::vector<std::int64_t> snapshots_;
     Duration meanLatency_{};
     std::optional<TimePoint> lastAnswer_;
--- a/src/request/SearchOperation.cpp
+++ b/src/request/SearchOperation.cpp
@@ -149,7 +149,7 @@
 ReplicaWanted SearchOperation::wanted(const ShardProgress &shard, const std::vector<std::string> &avoid) const
 {
     const EnvironmentPtr &newest = services_.configuration.current();
-    return {*newest, shard.spec->targets, avoid, snapshot_, ConnectionNeed::Any, deadline_, true};
+    return {*newest, shard.spec->targets, avoid, snapshot_, deadline_, true};
 }
 
 void SearchOperation::sendShard(ShardProgress &shard)
--- a/src/request/SingleShardOperation.cpp
+++ b/src/request/SingleShardOperation.cpp
@@ -79,10 +79,9 @@
         end({verdict_, std::nullopt, "quarantined"});
         return;
     }
-    const ConnectionNeed need = isIdempotent(work_) ? ConnectionNeed::Any : ConnectionNeed::FreshOrJustProved;
     const EnvironmentPtr document = services_.configuration.current();
     NoRoute why = NoRoute::Busy;
-    const auto route = services_.targets.pick({*document, replicas_, tried_, snapshotOf(work_), need, deadline_, mayUsePeers_}, why);
+    const auto route = services_.targets.pick({*document, replicas_, tried_, snapshotOf(work_), deadline_, mayUsePeers_}, why);
     if (!route) {
         const bool triedAll = why == NoRoute::NoReplica && !tried_.empty();
         if (triedAll) {
--- a/src/transport/TransportError.h
+++ b/src/transport/TransportError.h
@@ -19,7 +19,7 @@
 const std::error_category &transportCategory();
 
 /// \returns \p error as an error code.
-std::error_code make_error_code(TransportError error);
+std::error_code make_error_code(TransportError error); // NOLINT(readability-identifier-naming): name fixed by the standard library
 
 } // namespace magnoliaspan
 
--- a/tests/scenario/FakeWorld.cpp
+++ b/tests/scenario/FakeWorld.cpp
@@ -149,6 +149,7 @@
     outcome.answered = true;
     outcome.status = reply.status;
     outcome.body = reply.body;
+    outcome.endedAt = elapsed();
     outcome.took = time_.now() - calls_.at(id).sentAt;
 }
 
--- a/tests/scenario/Judge.h
+++ b/tests/scenario/Judge.h
@@ -25,6 +25,7 @@
 
 private:
     void judgeSearch(const CallerRequest &request, const CallerOutcome &outcome);
+    bool ranLater(const CallerRequest &refused, const CallerOutcome &outcome) const;
     void judgeKeys();
     void judgeTargets();
 
--- a/tests/scenario/ProcessWorld.cpp
+++ b/tests/scenario/ProcessWorld.cpp
@@ -264,6 +264,7 @@
 {
     Call &call = calls_.at(id);
     CallerOutcome &outcome = outcomes_.at(id);
+    outcome.endedAt = elapsed();
     outcome.took = clock_.now() - call.sentAt;
     if (reply.error) {
         outcome.lost = true;
--- a/tests/scenario/World.h
+++ b/tests/scenario/World.h
@@ -20,6 +20,7 @@
     std::string body;
     std::string key;   // Idempotency key, empty for searches.
     std::string query; // What the answer must be to.
+    Duration sentAt{}; // Since the start of the script.
 };
 
 /// What became of a caller's request.
@@ -29,6 +30,7 @@
     unsigned status = 0;
     std::string body;
     Duration took{};
+    Duration endedAt{}; // Since the start of the script.
 };
 
 /// The acts and observations of scripts.
