The callers of process worlds honour "Connection: close"

Ruled out: a fault of the entry host; its log shows every request it received answered.

Change: a caller's connection that a reply ended is not used again.

--- a/tests/scenario/ProcessWorld.cpp
+++ b/tests/scenario/ProcessWorld.cpp
@@ -234,16 +234,18 @@
     call.sentAt = clock_.now();
     outcomes_[request.id] = {};
     auto &idle = idle_[request.host];
+    std::erase_if(idle, [](const CallerConnection &connection) { return !*connection.open; });
     if (!idle.empty()) {
         call.connection = std::move(idle.back());
         idle.pop_back();
         sendOn(request.id, {});
         return;
     }
-    call.connection = transport_.connect(
+    call.connection.open = std::make_shared<bool>(true);
+    call.connection.connection = transport_.connect(
         *Endpoint::parse(processes_.at(request.host).address),
         [this, id = request.id](std::error_code error) { sendOn(id, error); },
-        [] {});
+        [open = call.connection.open] { *open = false; });
 }
 
 void ProcessWorld::sendOn(const std::string &id, std::error_code error)
@@ -257,7 +259,7 @@
     if (!call.request.key.empty()) {
         wire.headers.push_back({"Idempotency-Key", call.request.key});
     }
-    call.connection->exchange(std::move(wire), [this, id](const WireReply &reply) { finished(id, reply); });
+    call.connection.connection->exchange(std::move(wire), [this, id](const WireReply &reply) { finished(id, reply); });
 }
 
 void ProcessWorld::finished(const std::string &id, const WireReply &reply)
@@ -281,7 +283,7 @@
 void ProcessWorld::leave(const std::string &id)
 {
     outcomes_.at(id).lost = true;
-    calls_.at(id).connection.reset();
+    calls_.at(id).connection.connection.reset();
 }
 
 const std::map<std::string, CallerOutcome> &ProcessWorld::outcomes()
--- a/tests/scenario/ProcessWorld.h
+++ b/tests/scenario/ProcessWorld.h
@@ -72,10 +72,16 @@
         int status = -1;
     };
 
+    /// A caller's connection; a reply may end it.
+    struct CallerConnection {
+        std::unique_ptr<Connection> connection;
+        std::shared_ptr<bool> open;
+    };
+
     struct Call {
         CallerRequest request;
         TimePoint sentAt;
-        std::unique_ptr<Connection> connection;
+        CallerConnection connection;
     };
 
     std::string nextAddress();
@@ -97,7 +103,7 @@
     std::map<std::string, Process> processes_;
     std::map<std::string, std::unique_ptr<Relay>> relays_;
     std::map<std::string, Call> calls_;
-    std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle_; // Callers' connections, by host.
+    std::map<std::string, std::vector<CallerConnection>> idle_; // Callers' connections, by host.
     std::map<std::string, CallerOutcome> outcomes_;
     std::vector<std::string> log_;
     std::string platformAddress_;
