--- a/src/app/AdminService.cpp
+++ b/src/app/AdminService.cpp
@@ -121,7 +121,7 @@
                            {"membership_reading_age_ms", age(host_.platform().lastMembershipReading(), now)},
                            {"membership_revision", host_.membership().revision()}}},
                          {"requests_in_flight", host_.requestsInFlight()},
-                         {"quarantined", host_.quarantine().quarantined().size()},
+                         {"quarantined", host_.quarantine().withSuspicion(Suspicion::Quarantined).size()},
                          {"keys_remembered", host_.submits().ledger().size()},
                          {"targets", std::move(targets)},
                          {"peers", std::move(peers)}};
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(20);
+constexpr Duration askLimit = std::chrono::seconds(2);
 constexpr Duration linkTickInterval = std::chrono::milliseconds(200);
 
 } // namespace
@@ -27,10 +28,11 @@
     , targets_(linkEnvironment(environment), settings_.seat, settings_.zone, environment.seed)
     , platform_(environment.clock, environment.scheduler, environment.platform, configuration_, membership_, pause_, environment.seed + 1)
     , authenticator_(environment.clock, settings_.peerKey, environment.seed + 2)
+    , peers_(peerServices(environment), settings_.seat, environment.clock.wallNow(), environment.seed + 3)
     , services_(requestServices())
     , filters_(services_, serving_)
     , active_(serving_)
-    , submits_(services_, environment.clock.wallNow())
+    , submits_(services_, environment.clock.wallNow(), peers_.lease())
     , callers_(services_, filters_, submits_, active_, settings_.zone)
     , peerRequests_(services_,
                     filters_,
@@ -38,7 +40,8 @@
                     active_,
                     authenticator_,
                     settings_.zone,
-                    [](const std::string &) { return std::string("{}"); })
+                    [this](const std::string &body) { return peers_.dispatch(body); })
+    , startedAt_(environment.clock.now())
     , alive_(std::make_shared<int>(0))
 {
     connectControllers();
@@ -51,7 +54,22 @@
 
 LinkEnvironment EntryHost::linkEnvironment(const EntryHostEnvironment &environment)
 {
-    return {environment.clock, environment.scheduler, environment.transport, journal_, counters_, [this] { capacityFreed(); }};
+    return {environment.clock,
+            environment.scheduler,
+            environment.transport,
+            journal_,
+            counters_,
+            [this] {
+                capacityFreed();
+            },
+            [this](const std::string &target, const std::string &bootId) {
+                quarantine_.targetSurvived(target, bootId);
+            }};
+}
+
+PeerServices EntryHost::peerServices(const EntryHostEnvironment &environment)
+{
+    return {environment.clock, environment.scheduler, environment.transport, journal_, counters_, configuration_, targets_, quarantine_, pause_, authenticator_};
 }
 
 RequestServices EntryHost::requestServices()
@@ -67,7 +85,12 @@
             pause_,
             settings_.seat,
             [this](std::string_view path, std::string_view body) { return authenticator_.sign(path, body); },
-            [this] { return ++lastOperation_; }};
+            [this](std::string_view system) {
+                return peers_.snapshotOf(system);
+            },
+            [this] {
+                return ++lastOperation_;
+            }};
 }
 
 void EntryHost::connectControllers()
@@ -76,9 +99,13 @@
         systems_.apply(document);
         targets_.apply(document);
         submits_.apply(document);
+        peers_.apply(document);
         serving_.configurationAccepted();
         capacityFreed();
     });
+    quarantine_.onEvidence([this](Fingerprint, Suspicion) {
+        peers_.tellAll();
+    });
     membership_.onChange([this](const MembershipReading &reading) { targets_.apply(reading); });
 }
 
@@ -93,6 +120,7 @@
 
 void EntryHost::stop()
 {
+    peers_.setLeaving();
     serving_.stop();
 }
 
@@ -110,7 +138,9 @@
     if (pause_.observe(now)) {
         journal_.note(Part::Pause, "", "process was paused, new work waits for a reading");
         platform_.refresh();
+        peers_.tellAll();
     }
+    peers_.tick();
     if (now >= nextLinkTick_) {
         nextLinkTick_ = now + linkTickInterval;
         targets_.tick();
@@ -160,6 +190,10 @@
     if (!configuration_.current()->zoneTakesWork(settings_.zone)) {
         return fmt::format("zone '{}' is taken out", settings_.zone);
     }
+    // A fresh host may have read a service that is behind: its peers are asked too.
+    if (!peers_.askedAll() && clock_.now() - startedAt_ < askLimit) {
+        return "peers are being asked";
+    }
     return "";
 }
 
@@ -208,6 +242,11 @@
     return pause_;
 }
 
+const PeerController &EntryHost::peers() const
+{
+    return peers_;
+}
+
 const SubmitRouter &EntryHost::submits() const
 {
     return submits_;
--- a/src/app/EntryHost.h
+++ b/src/app/EntryHost.h
@@ -12,6 +12,7 @@
 #include "control/PlatformWatcher.h"
 #include "control/ServingController.h"
 #include "peer/PeerAuthenticator.h"
+#include "peer/PeerController.h"
 #include "request/FilterChain.h"
 #include "request/RequestServices.h"
 
@@ -63,6 +64,7 @@
     const TargetController &targets() const;
     const QuarantineController &quarantine() const;
     const PauseDetector &pause() const;
+    const PeerController &peers() const;
     const SubmitRouter &submits() const;
     const Counters &counters() const;
     const Journal &journal() const;
@@ -70,6 +72,7 @@
 
 private:
     LinkEnvironment linkEnvironment(const EntryHostEnvironment &environment);
+    PeerServices peerServices(const EntryHostEnvironment &environment);
     RequestServices requestServices();
     void connectControllers();
     void tick();
@@ -91,6 +94,7 @@
     TargetController targets_;
     PlatformWatcher platform_;
     PeerAuthenticator authenticator_;
+    PeerController peers_;
     std::uint64_t lastOperation_ = 0;
     RequestServices services_;
     FilterChain filters_;
@@ -99,6 +103,7 @@
     CallerService callers_;
     PeerService peerRequests_;
     TimerId tickTimer_ = TimerId::None;
+    TimePoint startedAt_;
     TimePoint nextLinkTick_{};
     bool pumpScheduled_ = false; // Whether serveWaiters() is about to run.
     std::shared_ptr<int> alive_; // Handlers hold it weakly, so that none outlives the host.
--- a/src/app/SubmitRouter.cpp
+++ b/src/app/SubmitRouter.cpp
@@ -3,6 +3,7 @@
  */
 #include "app/SubmitRouter.h"
 
+#include <algorithm>
 #include <cassert>
 #include <fmt/format.h>
 #include <xxhash.h>
@@ -43,15 +44,29 @@
 
 } // namespace
 
-SubmitRouter::SubmitRouter(RequestServices &services, WallTime startedAt)
+SubmitRouter::SubmitRouter(RequestServices &services, WallTime startedAt, const HomeLease &lease)
     : services_(services)
-    , ledger_(services.clock, startedAt)
+    , lease_(lease)
+    , ledger_(services.clock, startedAt + HomeLease::lease, [this]() -> std::optional<WallTime> {
+        const auto confirmed = lease_.lastConfirmation(services_.clock.wallNow());
+        return confirmed ? std::optional(*confirmed + HomeLease::lease) : std::nullopt;
+    })
 {
 }
 
 void SubmitRouter::apply(const EnvironmentDocument &document)
 {
     ledger_.configure(document.clockOffsetBound, document.keyLifetime);
+    std::vector<std::string> seats;
+    for (const SeatSpec &seat : document.seats) {
+        seats.push_back(seat.name);
+    }
+    std::sort(seats.begin(), seats.end());
+    if (!seats_.empty() && seats != seats_) {
+        // Keys that had another home before may be taken there until its lease ends.
+        ledger_.takeOnlySince(services_.clock.wallNow() + HomeLease::lease);
+    }
+    seats_ = std::move(seats);
 }
 
 const SeatSpec &SubmitRouter::homeOf(const EnvironmentDocument &document, std::string_view key)
@@ -128,7 +143,7 @@
         return;
     }
     const std::uint64_t content = weight(call.system + '\n' + call.routing, call.payload);
-    const KeyLedger::Entry entry = ledger_.begin(key, content, std::move(handler));
+    const KeyLedger::Entry entry = ledger_.begin(key, content, call.refusedBeforeHome(), std::move(handler));
     const std::string_view decision = entry == KeyLedger::Entry::Run ? "run" : entry == KeyLedger::Entry::Waiting ? "wait" : "ended";
     services_.journal.note(Part::Submit, call.requestId, fmt::format("key looked up key={} decision={}", key.text, decision));
     if (entry == KeyLedger::Entry::Run) {
--- a/src/app/SubmitRouter.h
+++ b/src/app/SubmitRouter.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "control/KeyLedger.h"
+#include "peer/HomeLease.h"
 #include "request/CallerMessages.h"
 #include "request/RequestServices.h"
 #include "request/SingleShardOperation.h"
@@ -25,7 +26,9 @@
 public:
     using Handler = std::function<void(const SubmitResult &result)>;
 
-    SubmitRouter(RequestServices &services, WallTime startedAt);
+    /// \param startedAt start of this process.
+    /// \param lease says until when this process is home.
+    SubmitRouter(RequestServices &services, WallTime startedAt, const HomeLease &lease);
 
     /// \brief Tells the published bounds and seats.
     void apply(const EnvironmentDocument &document);
@@ -47,6 +50,8 @@
     void ended(const std::string &key, const std::string &requestId, const SingleShardResult &result);
 
     RequestServices &services_;
+    const HomeLease &lease_;
+    std::vector<std::string> seats_; // Published seats, sorted.
     KeyLedger ledger_;
     std::map<std::string, std::shared_ptr<SingleShardOperation>> running_; // By key.
 };
--- a/src/control/KeyLedger.cpp
+++ b/src/control/KeyLedger.cpp
@@ -37,19 +37,25 @@
     return IdempotencyKey{std::string(text), WallTime(std::chrono::milliseconds(issued))};
 }
 
-KeyLedger::KeyLedger(const Clock &clock, WallTime startedAt)
+KeyLedger::KeyLedger(const Clock &clock, WallTime takesSince, NewestKey newest)
     : clock_(clock)
-    , startedAt_(startedAt)
+    , takesSince_(takesSince)
+    , newest_(std::move(newest))
 {
 }
 
+void KeyLedger::takeOnlySince(WallTime instant)
+{
+    takesSince_ = std::max(takesSince_, instant);
+}
+
 void KeyLedger::configure(Duration clockOffsetBound, Duration keyLifetime)
 {
     clockOffsetBound_ = clockOffsetBound;
     keyLifetime_ = keyLifetime;
 }
 
-std::optional<SubmitResult> KeyLedger::refuseByAge(const IdempotencyKey &key) const
+std::optional<SubmitResult> KeyLedger::refuseByAge(const IdempotencyKey &key, Verdict unknown) const
 {
     const WallTime now = clock_.wallNow();
     const auto bound = std::chrono::ceil<std::chrono::milliseconds>(clockOffsetBound_);
@@ -67,17 +73,18 @@
         return SubmitResult{
             Verdict::MayHaveRun, statusUnprocessable, "key_expired", "the key is older than the published key_lifetime", ""};
     }
-    if (key.issued < startedAt_ + bound) {
-        return SubmitResult{Verdict::MayHaveRun,
-                            statusUnavailable,
-                            "key_older_than_host",
-                            "this host started after the key was issued and cannot know",
-                            ""};
+    if (key.issued < takesSince_ + bound) {
+        return SubmitResult{unknown, statusUnavailable, "key_older_than_host", "this host became home after the key was issued", ""};
+    }
+    const auto newest = newest_();
+    if (!newest || key.issued > *newest) {
+        // A successor that this host has not heard of may take such keys.
+        return SubmitResult{unknown, statusUnavailable, "home_unconfirmed", "too few other entry hosts confirm this one as the key's home", ""};
     }
     return std::nullopt;
 }
 
-KeyLedger::Entry KeyLedger::begin(const IdempotencyKey &key, std::uint64_t content, Waiter waiter)
+KeyLedger::Entry KeyLedger::begin(const IdempotencyKey &key, std::uint64_t content, Verdict unknown, Waiter waiter)
 {
     forgetExpired();
     const auto found = records_.find(key.text);
@@ -94,7 +101,7 @@
         record.waiters.push_back(std::move(waiter));
         return Entry::Waiting;
     }
-    if (const auto refusal = refuseByAge(key)) {
+    if (const auto refusal = refuseByAge(key, unknown)) {
         waiter(*refusal);
         return Entry::Ended;
     }
--- a/src/control/KeyLedger.h
+++ b/src/control/KeyLedger.h
@@ -56,13 +56,22 @@
     /// Keys remembered at most; a submit beyond them is refused as not run.
     static constexpr std::size_t capacity = 100'000;
 
-    KeyLedger(const Clock &clock, WallTime startedAt);
+    /// Latest issue time of keys that may still be taken, if any.
+    using NewestKey = std::function<std::optional<WallTime>()>;
+
+    /// \param takesSince keys issued before may have been taken by an earlier process in this seat.
+    /// \param newest asked for each new key.
+    KeyLedger(const Clock &clock, WallTime takesSince, NewestKey newest);
 
     /// \brief Sets the published bounds.
     void configure(Duration clockOffsetBound, Duration keyLifetime);
 
+    /// \brief Tells that keys issued before \p instant may have another home.
+    void takeOnlySince(WallTime instant);
+
     /// \brief Decides about a submit with \p key and the hash \p content of its payload.
-    Entry begin(const IdempotencyKey &key, std::uint64_t content, Waiter waiter);
+    /// \param unknown what a refusal may claim when an earlier send could have been run elsewhere.
+    Entry begin(const IdempotencyKey &key, std::uint64_t content, Verdict unknown, Waiter waiter);
 
     /// \brief Ends a running submit and calls its waiters.
     void end(std::string_view key, const SubmitResult &result);
@@ -77,11 +86,12 @@
         std::vector<Waiter> waiters;        // Invariant: empty once result is set.
     };
 
-    std::optional<SubmitResult> refuseByAge(const IdempotencyKey &key) const;
+    std::optional<SubmitResult> refuseByAge(const IdempotencyKey &key, Verdict unknown) const;
     void forgetExpired();
 
     const Clock &clock_;
-    WallTime startedAt_;
+    WallTime takesSince_; // Never decreases.
+    NewestKey newest_;
     Duration clockOffsetBound_{};
     Duration keyLifetime_{};
     std::map<std::string, Record, std::less<>> records_;
--- a/src/control/LinkEnvironment.h
+++ b/src/control/LinkEnvironment.h
@@ -21,6 +21,9 @@
     Journal &journal;
     Counters &counters;
     std::function<void()> capacityFreed; ///< Called after a link can take more work.
+
+    /// Called when a target answers from the same start although a connection to it was lost before.
+    std::function<void(const std::string &target, const std::string &bootId)> survived;
 };
 
 } // namespace magnoliaspan
--- a/src/control/QuarantineController.cpp
+++ b/src/control/QuarantineController.cpp
@@ -49,14 +49,16 @@
     }
 }
 
-void QuarantineController::targetLost(Fingerprint fingerprint, std::string_view target, bool singleRun)
+void QuarantineController::targetLost(Fingerprint fingerprint, std::string_view target, std::string_view bootId, bool singleRun)
 {
     const Suspicion before = suspicion(fingerprint);
     if (before == Suspicion::Quarantined || (before == Suspicion::Suspect && !singleRun)) {
         return;
     }
     const Suspicion after = before == Suspicion::None ? Suspicion::Suspect : Suspicion::Quarantined;
-    remember(fingerprint, after).singleRunTaken = false;
+    Record &record = remember(fingerprint, after);
+    record.singleRunTaken = false;
+    record.evidence.push_back({std::string(target), std::string(bootId)});
     if (after == Suspicion::Quarantined) {
         counters_.add("magnoliaspan_quarantines_total");
     }
@@ -71,6 +73,23 @@
     }
 }
 
+void QuarantineController::targetSurvived(std::string_view target, std::string_view bootId)
+{
+    for (auto it = records_.begin(); it != records_.end();) {
+        Record &record = it->second;
+        const auto dropped = std::erase_if(record.evidence, [target, bootId](const LostTarget &lost) {
+            return lost.target == target && lost.bootId == bootId;
+        });
+        if (dropped == 0) {
+            ++it;
+            continue;
+        }
+        journal_.note(Part::Quarantine, "", fmt::format("evidence withdrawn fingerprint={:016x} target={}", static_cast<std::uint64_t>(it->first), target));
+        record.suspicion = Suspicion::Suspect;
+        it = record.evidence.empty() ? records_.erase(it) : std::next(it);
+    }
+}
+
 void QuarantineController::completed(Fingerprint fingerprint, bool singleRun)
 {
     Record *record = find(fingerprint);
@@ -104,11 +123,11 @@
     listener_ = std::move(listener);
 }
 
-std::vector<Fingerprint> QuarantineController::quarantined() const
+std::vector<Fingerprint> QuarantineController::withSuspicion(Suspicion wanted) const
 {
     std::vector<Fingerprint> fingerprints;
     for (const auto &[fingerprint, record] : records_) {
-        if (suspicion(fingerprint) == Suspicion::Quarantined) {
+        if (suspicion(fingerprint) == wanted) {
             fingerprints.push_back(fingerprint);
         }
     }
--- a/src/control/QuarantineController.h
+++ b/src/control/QuarantineController.h
@@ -53,7 +53,11 @@
 
     /// \brief Tells that \p target was lost with the request in flight.
     /// \param singleRun whether it was sent under takeSingleRun().
-    void targetLost(Fingerprint fingerprint, std::string_view target, bool singleRun);
+    /// \param bootId of the start that was lost.
+    void targetLost(Fingerprint fingerprint, std::string_view target, std::string_view bootId, bool singleRun);
+
+    /// \brief Tells that the start \p bootId of \p target was not lost after all: only a connection was.
+    void targetSurvived(std::string_view target, std::string_view bootId);
 
     /// \brief Tells that a target ran the request to its end.
     void completed(Fingerprint fingerprint, bool singleRun);
@@ -64,14 +68,20 @@
     /// \brief Calls \p listener when evidence of this host's own changes a suspicion.
     void onEvidence(std::function<void(Fingerprint, Suspicion)> listener);
 
-    /// \returns the requests in quarantine.
-    std::vector<Fingerprint> quarantined() const;
+    /// \returns the requests of which \p suspicion is held.
+    std::vector<Fingerprint> withSuspicion(Suspicion suspicion) const;
 
 private:
+    struct LostTarget {
+        std::string target;
+        std::string bootId;
+    };
+
     struct Record {
         Suspicion suspicion = Suspicion::None;
         bool singleRunTaken = false; // Invariant: at most one subrequest of a suspect runs.
         TimePoint expires;
+        std::vector<LostTarget> evidence; // Invariant: this host's own losses that count, at most two.
     };
 
     Record *find(Fingerprint fingerprint);
--- a/src/control/TargetLink.cpp
+++ b/src/control/TargetLink.cpp
@@ -336,13 +336,15 @@
     }
     if (wire.error) {
         connections_.erase(found);
-        holdCold(exchange);
+        if (wire.bytesSent) {
+            holdCold(exchange);
+        }
         connectionLost();
     } else {
         connection.state = ConnectionState::Idle;
         connection.lastAnswer = environment_.clock.now();
     }
-    LinkReply result{wire.error, wire.bytesSent, std::nullopt};
+    LinkReply result{wire.error, wire.bytesSent, std::nullopt, bootId_};
     if (exchange.probe) {
         probeAnswered(wire);
     } else if (!wire.error) {
@@ -398,6 +400,10 @@
     }
     snapshots_ = notice.snapshots;
     const bool bootChanged = !bootId_.empty() && notice.bootId != bootId_;
+    if (lossUnexplained_ && !bootChanged) {
+        environment_.survived(address_.name, bootId_);
+    }
+    lossUnexplained_ = false;
     bootId_ = notice.bootId;
     if (bootChanged) {
         successes_ = 0;
@@ -489,6 +495,7 @@
     for (auto &[id, connection] : connections_) {
         connection.proved = false;
     }
+    lossUnexplained_ = true;
     process(TargetEvent::ConnectionLost, "a connection was lost");
 }
 
--- a/src/control/TargetLink.h
+++ b/src/control/TargetLink.h
@@ -45,6 +45,7 @@
     std::error_code error;           ///< Set when there is no valid answer.
     bool bytesSent = false;          ///< Whether any byte of the request may have reached the target.
     std::optional<ShardReply> reply; ///< The answer; its request id and shard match the request.
+    std::string bootId = {}; ///< Known start of the target when the exchange ended.
 
     /// \returns what is known of whether the work was run.
     Verdict verdict() const;
@@ -168,6 +169,7 @@
     unsigned inFlight_ = 0;            // Invariant: exchanges that are work, on all connections.
     std::vector<TimePoint> coldHolds_; // Work on the cold share whose end at the target is not known before then.
     std::string bootId_;
+    bool lossUnexplained_ = false; // A connection was lost and no answer has shown since whether the target restarted.
     std::string statusBootId_; // Last one that the status showed.
     std::vector<std::int64_t> snapshots_;
     Duration meanLatency_{};
--- /dev/null
+++ b/src/peer/PeerCodec.h
@@ -0,0 +1,54 @@
+/*
+ * Part peer: control messages as JSON-RPC 2.0, by libjsonrpccpp.
+ * The library needs C++14, so that it is used in the source file only.
+ */
+#pragma once
+
+#include "peer/PeerState.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace magnoliaspan {
+
+/// \brief Writes requests and reads replies.
+class PeerCodec
+{
+public:
+    /// \returns a request that tells \p state and asks for the peer's.
+    static std::string encodeHello(const PeerState &state);
+
+    /// \returns a request for the document in force.
+    static std::string encodeFetch();
+
+    /// \returns the state in a reply to a hello, or null when it is malformed, an error or of another version.
+    static std::unique_ptr<PeerState> decodeState(const std::string &reply);
+
+    /// \returns the document in a reply to a fetch, or null.
+    static std::unique_ptr<std::string> decodeDocument(const std::string &reply);
+};
+
+/// \brief What a host does with requests of its peers.
+struct PeerHandlers {
+    std::function<PeerState(const PeerState &told)> hello;
+    std::function<std::string()> document;
+};
+
+/// \brief Reads requests, calls the handlers and writes replies.
+/// A malformed request or one of another version gets a JSON-RPC error.
+class PeerDispatcher
+{
+public:
+    explicit PeerDispatcher(PeerHandlers handlers);
+    ~PeerDispatcher();
+
+    std::string dispatch(const std::string &request);
+
+private:
+    class Impl;
+    struct Parts;
+    std::unique_ptr<Parts> parts_;
+};
+
+} // namespace magnoliaspan
--- a/src/request/RequestServices.h
+++ b/src/request/RequestServices.h
@@ -35,6 +35,9 @@
     /// \returns the authorization of a request to another entry host.
     std::function<std::string(std::string_view path, std::string_view body)> authorize;
 
+    /// \returns the best snapshot of a system that other zones' entry hosts have told of, zero when none has.
+    std::function<std::int64_t(std::string_view system)> peerSnapshot;
+
     /// \returns a number that no other operation of this process has.
     std::function<std::uint64_t()> nextOperation;
 };
--- a/src/request/SearchOperation.cpp
+++ b/src/request/SearchOperation.cpp
@@ -71,12 +71,22 @@
         shard.notBefore = startedAt_;
         shards_.push_back(std::move(shard));
     }
-    snapshot_ = services_.targets.bestSnapshot(*system_, 0);
+    snapshot_ = chooseSnapshot(0);
     plan();
     sendPending();
     arm();
 }
 
+std::int64_t SearchOperation::chooseSnapshot(std::int64_t excluded) const
+{
+    const std::int64_t own = services_.targets.bestSnapshot(*system_, excluded);
+    if (own != 0) {
+        return own;
+    }
+    const std::int64_t told = services_.peerSnapshot(system_->name);
+    return told == excluded ? 0 : told;
+}
+
 void SearchOperation::plan()
 {
     services_.journal.note(Part::Plan,
@@ -120,7 +130,7 @@
         return;
     }
     if (snapshot_ == 0) {
-        snapshot_ = services_.targets.bestSnapshot(*system_, 0);
+        snapshot_ = chooseSnapshot(0);
     }
     sending_ = true;
     const bool restartedBefore = restarted_;
@@ -316,7 +326,7 @@
 {
     const bool lost = reply.error == make_error_code(TransportError::ConnectionLost) && reply.bytesSent;
     if (lost && !attempt.viaPeer) {
-        services_.quarantine.targetLost(fingerprint_, attempt.linkName, attempt.singleRun);
+        services_.quarantine.targetLost(fingerprint_, attempt.linkName, reply.bootId, attempt.singleRun);
         return;
     }
     if (reply.reply && reply.reply->outcome == ShardOutcome::Answered) {
@@ -358,8 +368,8 @@
     if (!silent && !isTried(list, attempt.linkName)) {
         list.push_back(attempt.linkName);
     }
-    // A refused connection cost the target nothing.
-    shard.needsRetryToken = shard.needsRetryToken || reply.error != make_error_code(TransportError::ConnectFailed);
+    // What never reached the target cost it nothing.
+    shard.needsRetryToken = shard.needsRetryToken || reply.bytesSent;
     if (shard.attempts.empty()) {
         shard.state = ShardState::Pending;
         shard.notBefore = services_.clock.now();
@@ -373,7 +383,7 @@
     if (shard.lacking.empty() || restarted_ || !inTime) {
         return false;
     }
-    const std::int64_t other = services_.targets.bestSnapshot(*system_, snapshot_);
+    const std::int64_t other = chooseSnapshot(snapshot_);
     if (other == 0 || !state_->retries.spend()) {
         return false;
     }
--- a/src/request/SearchOperation.h
+++ b/src/request/SearchOperation.h
@@ -63,6 +63,8 @@
         std::vector<Hit> hits;
     };
 
+    /// \returns the snapshot to pin, zero when none but \p excluded is known.
+    std::int64_t chooseSnapshot(std::int64_t excluded) const;
     void plan();
     void sendPending();
     void sendDue(TimePoint now);
--- a/src/request/SingleShardOperation.cpp
+++ b/src/request/SingleShardOperation.cpp
@@ -60,11 +60,10 @@
 
 bool SingleShardOperation::capacityFreed()
 {
-    queued_ = false;
-    if (!handler_ || running_) {
-        return false;
+    if (handler_ && !running_) {
+        trySend();
     }
-    trySend();
+    queued_ = handler_ && !running_;
     return queued_;
 }
 
@@ -167,15 +166,19 @@
     }
     rememberTried(linkName, reply);
     lastReply_ = std::move(reply.reply);
-    needsRetryToken_ = reply.error != make_error_code(TransportError::ConnectFailed);
+    // What never reached the target cost it nothing.
+    needsRetryToken_ = reply.bytesSent;
     trySend();
+    if (handler_) {
+        arm();
+    }
 }
 
 void SingleShardOperation::judgeLoss(const std::string &linkName, bool viaPeer, bool singleRun, const LinkReply &reply)
 {
     const bool lost = reply.error == make_error_code(TransportError::ConnectionLost) && reply.bytesSent;
     if (lost && !viaPeer) {
-        services_.quarantine.targetLost(fingerprint_, linkName, singleRun);
+        services_.quarantine.targetLost(fingerprint_, linkName, reply.bootId, singleRun);
         return;
     }
     if (reply.reply && reply.reply->outcome == ShardOutcome::Answered) {
@@ -259,6 +262,7 @@
 
 void SingleShardOperation::arm()
 {
+    services_.scheduler.cancel(timer_);
     const TimePoint now = services_.clock.now();
     const TimePoint due = running_ ? std::max(deadline_, now + pollInterval) : std::min(deadline_, now + pollInterval);
     timer_ = services_.scheduler.callAt(due, [weak = weak_from_this()] {
--- /dev/null
+++ b/tests/unit/BadInputTest.cpp
@@ -0,0 +1,104 @@
+/*
+ * Unit tests: what callers send wrongly is refused as "not run", and nothing else is disturbed.
+ */
+#include "unit/SocketFixture.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace magnoliaspan;
+using namespace magnoliaspan::testing;
+
+namespace {
+
+std::string post(const std::string &path, const std::string &body, const std::string &type = "application/json")
+{
+    return fmt::format("POST {} HTTP/1.1\r\nHost: x\r\nContent-Type: {}\r\nContent-Length: {}\r\n\r\n{}", path, type, body.size(), body);
+}
+
+struct Case {
+    const char *name;
+    std::string bytes;
+    const char *status;
+};
+
+std::vector<Case> cases()
+{
+    const std::string deep = std::string(40, '[') + std::string(40, ']');
+    return {
+        {"no HTTP at all", "nonsense\r\n\r\n", "400"},
+        {"a header too large", "POST /v1/search HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n", "431"},
+        {"a body too large", "POST /v1/search HTTP/1.1\r\nHost: x\r\nContent-Length: 900000\r\n\r\n", "413"},
+        {"a wrong content type", post("/v1/search", "{}", "text/plain"), "415"},
+        {"an unknown path", post("/v2/search", "{}"), "404"},
+        {"a wrong method", "GET /v1/search HTTP/1.1\r\nHost: x\r\n\r\n", "405"},
+        {"no JSON", post("/v1/search", "{"), "400"},
+        {"no object", post("/v1/search", "[]"), "400"},
+        {"JSON nested too deep", post("/v1/search", R"({"system":"catalog","query":)" + deep + "}"), "400"},
+        {"invalid UTF-8", post("/v1/search", "{\"system\":\"catalog\",\"query\":\"\xff\xfe\"}"), "400"},
+        {"a missing field", post("/v1/search", R"({"system":"catalog"})"), "400"},
+        {"an unknown field", post("/v1/search", R"({"system":"catalog","query":"x","colour":1})"), "400"},
+        {"an absurd deadline", post("/v1/search", R"({"system":"catalog","query":"x","deadline_ms":-5})"), "400"},
+        {"a deadline that is no number", post("/v1/search", R"({"system":"catalog","query":"x","deadline_ms":"soon"})"), "400"},
+        {"an unknown system", post("/v1/search", R"({"system":"nowhere","query":"x"})"), "404"},
+        {"a submit without a key", post("/v1/submit", R"({"system":"catalog","payload":"x"})"), "400"},
+    };
+}
+
+} // namespace
+
+TEST_CASE("bad requests are refused as not run and disturb nothing", "[callers]")
+{
+    SocketFixture fixture(21'020);
+    const std::string good = post("/v1/search", R"({"system":"catalog","query":"x"})");
+    for (const Case &each : cases()) {
+        INFO(each.name);
+        const std::string reply = fixture.raw(each.bytes, std::chrono::milliseconds(60));
+        REQUIRE(reply.substr(9, 3) == each.status);
+        REQUIRE(reply.find("application/problem+json") != std::string::npos);
+        REQUIRE(reply.find("\"verdict\":\"not_run\"") != std::string::npos);
+    }
+    REQUIRE(fixture.target->record().arrivals == 0);
+    const std::string reply = fixture.raw(good);
+    REQUIRE(reply.find("\"answered\":1") != std::string::npos);
+}
+
+TEST_CASE("pipelined requests are answered in their order", "[callers]")
+{
+    SocketFixture fixture(21'030);
+    const std::string first = post("/v1/search", R"({"system":"catalog","query":"first"})");
+    const std::string second = post("/v1/search", R"({"system":"catalog","query":"second"})");
+    const std::string replies = fixture.raw(first + second);
+    const auto firstPlace = replies.find("\"text\":\"first\"");
+    const auto secondPlace = replies.find("\"text\":\"second\"");
+    REQUIRE(firstPlace != std::string::npos);
+    REQUIRE(secondPlace != std::string::npos);
+    REQUIRE(firstPlace < secondPlace);
+}
+
+TEST_CASE("a slow sender is cut at the deadline of its request", "[callers]")
+{
+    HttpServerLimits limits;
+    limits.requestTime = std::chrono::milliseconds(100);
+    SocketFixture fixture(21'040, limits);
+    fixture.raw("POST /v1/search HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n{", std::chrono::seconds(2));
+    REQUIRE(fixture.closed);
+}
+
+TEST_CASE("two callers with the same request id each get their own answer", "[callers]")
+{
+    SocketFixture fixture(21'050);
+    std::vector<std::string> bodies;
+    for (const char *query : {"first", "second"}) {
+        ServiceRequest request;
+        request.method = "POST";
+        request.target = "/v1/search";
+        request.contentType = "application/json";
+        request.requestId = "same";
+        request.body = fmt::format(R"({{"system":"catalog","query":"{}"}})", query);
+        fixture.host->callers().handle(std::move(request), [&bodies](const ServiceReply &reply) { bodies.push_back(reply.body); });
+    }
+    REQUIRE(fixture.runUntil([&bodies] { return bodies.size() == 2; }));
+    REQUIRE(bodies[0].find("\"text\":\"first\"") != std::string::npos);
+    REQUIRE(bodies[1].find("\"text\":\"second\"") != std::string::npos);
+}
--- /dev/null
+++ b/tests/unit/SocketFixture.h
@@ -0,0 +1,63 @@
+/*
+ * Unit tests: one entry host, one target behind a relay and a platform, on
+ * real sockets in one event loop.
+ */
+#pragma once
+
+#include "app/AdminService.h"
+#include "app/EntryHost.h"
+#include "net/EventLoop.h"
+#include "net/HttpPlatformSource.h"
+#include "net/HttpServer.h"
+#include "net/HttpTransport.h"
+#include "net/SystemClock.h"
+#include "standins/PlatformModel.h"
+#include "standins/Relay.h"
+#include "standins/TargetModel.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace magnoliaspan::testing {
+
+/// The smallest whole system on sockets.
+class SocketFixture
+{
+public:
+    /// \param firstPort of six ports.
+    explicit SocketFixture(std::uint16_t firstPort, HttpServerLimits callerLimits = {});
+
+    /// Runs the loop until \p done or the time is over. \returns done().
+    bool runUntil(const std::function<bool()> &done, Duration limit = std::chrono::seconds(10));
+
+    void runFor(Duration duration);
+
+    /// Sends raw bytes to the callers' port. \returns what came back until it was quiet or closed.
+    std::string raw(const std::string &bytes, Duration wait = std::chrono::milliseconds(300));
+
+    /// \returns the reply to a submit with \p key.
+    ServiceReply submit(const std::string &key);
+
+    SystemClock clock;
+    EventLoop loop{clock};
+    std::unique_ptr<TargetModel> target;
+    std::unique_ptr<Relay> relay;
+    std::unique_ptr<EntryHost> host;
+    Endpoint callers;
+    bool closed = false; ///< Whether the last raw() ended with the host closing the connection.
+
+private:
+    Endpoint endpoint(std::uint16_t offset) const;
+    std::string document() const;
+
+    std::uint16_t firstPort_;
+    HttpTransport transport_{loop};
+    PlatformModel platform_{clock, loop};
+    std::unique_ptr<HttpPlatformSource> source_;
+    std::unique_ptr<HttpServer> targetServer_;
+    std::unique_ptr<HttpServer> platformServer_;
+    std::unique_ptr<HttpServer> callerServer_;
+};
+
+} // namespace magnoliaspan::testing
