Slow work is not taken for a silent connection; overload by pace, not by wait

An unanswered attempt was given up after 40% of the remaining time, so that work that takes longer could never end: shutdown_drains, a target of 800 ms under a deadline of 2 s, ended with coverage 0/1 after three sends. Cause: silence and slowness look alike on one connection. Ruled out: a longer limit, which leaves no time for the second attempt. Change: the first attempt goes on and a second one is sent on a new connection; whichever answers first wins, and only then are the loser and the connections that were quiet as long given up. Requests were refused as overload because others waited for their turn at targets not yet known to be warm (zone_out: 2 of 70, partition_zones: 4 of 40 after healing). Cause: the filter looked at the longest wait. Change: it looks at the pace at which requests end (Little's law). After: 70 of 70 and 40 of 40 answered.

--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -59,17 +59,22 @@
             environment.transport,
             journal_,
             counters_,
-            [this] {
-                capacityFreed();
-            },
-            [this](const std::string &target, const std::string &bootId) {
-                quarantine_.targetSurvived(target, bootId);
-            }};
+            [this] { capacityFreed(); },
+            [this](const std::string &target, const std::string &bootId) { quarantine_.targetSurvived(target, bootId); }};
 }
 
 PeerServices EntryHost::peerServices(const EntryHostEnvironment &environment)
 {
-    return {environment.clock, environment.scheduler, environment.transport, journal_, counters_, configuration_, targets_, quarantine_, pause_, authenticator_};
+    return {environment.clock,
+            environment.scheduler,
+            environment.transport,
+            journal_,
+            counters_,
+            configuration_,
+            targets_,
+            quarantine_,
+            pause_,
+            authenticator_};
 }
 
 RequestServices EntryHost::requestServices()
@@ -85,12 +90,8 @@
             pause_,
             settings_.seat,
             [this](std::string_view path, std::string_view body) { return authenticator_.sign(path, body); },
-            [this](std::string_view system) {
-                return peers_.snapshotOf(system);
-            },
-            [this] {
-                return ++lastOperation_;
-            }};
+            [this](std::string_view system) { return peers_.snapshotOf(system); },
+            [this] { return ++lastOperation_; }};
 }
 
 void EntryHost::connectControllers()
@@ -103,9 +104,7 @@
         serving_.configurationAccepted();
         capacityFreed();
     });
-    quarantine_.onEvidence([this](Fingerprint, Suspicion) {
-        peers_.tellAll();
-    });
+    quarantine_.onEvidence([this](Fingerprint, Suspicion) { peers_.tellAll(); });
     membership_.onChange([this](const MembershipReading &reading) { targets_.apply(reading); });
 }
 
--- a/src/app/SubmitRouter.cpp
+++ b/src/app/SubmitRouter.cpp
@@ -105,7 +105,7 @@
 {
     TargetLink *link = services_.targets.findPeer(home.name);
     const TimePoint now = services_.clock.now();
-    const auto permit = link == nullptr ? std::nullopt : link->permit(deadline);
+    const auto permit = link == nullptr ? std::nullopt : link->permit(ConnectionNeed::FreshOrJustProved, deadline);
     if (!permit || !services_.pause.fresh(now)) {
         handler(refused(
             call.refusedBeforeHome(), "home_unreachable", fmt::format("seat '{}', the home of the key, cannot be reached", home.name)));
@@ -131,7 +131,7 @@
         const std::string why = reply.error ? reply.error.message() : "its answer is malformed";
         handler(refused(combine(least, reply.verdict()), "home_unreachable", fmt::format("seat '{}', the home of the key: {}", seat, why)));
     };
-    link->send(*permit, ConnectionNeed::FreshOrJustProved, std::move(request));
+    link->send(*permit, std::move(request));
 }
 
 void SubmitRouter::submitAtHome(const SubmitCall &call, const IdempotencyKey &key, TimePoint deadline, Handler handler)
--- a/src/control/KeyLedger.cpp
+++ b/src/control/KeyLedger.cpp
@@ -79,7 +79,8 @@
     const auto newest = newest_();
     if (!newest || key.issued > *newest) {
         // A successor that this host has not heard of may take such keys.
-        return SubmitResult{unknown, statusUnavailable, "home_unconfirmed", "too few other entry hosts confirm this one as the key's home", ""};
+        return SubmitResult{
+            unknown, statusUnavailable, "home_unconfirmed", "too few other entry hosts confirm this one as the key's home", ""};
     }
     return std::nullopt;
 }
--- a/src/control/QuarantineController.cpp
+++ b/src/control/QuarantineController.cpp
@@ -77,14 +77,15 @@
 {
     for (auto it = records_.begin(); it != records_.end();) {
         Record &record = it->second;
-        const auto dropped = std::erase_if(record.evidence, [target, bootId](const LostTarget &lost) {
-            return lost.target == target && lost.bootId == bootId;
-        });
+        const auto dropped = std::erase_if(
+            record.evidence, [target, bootId](const LostTarget &lost) { return lost.target == target && lost.bootId == bootId; });
         if (dropped == 0) {
             ++it;
             continue;
         }
-        journal_.note(Part::Quarantine, "", fmt::format("evidence withdrawn fingerprint={:016x} target={}", static_cast<std::uint64_t>(it->first), target));
+        journal_.note(Part::Quarantine,
+                      "",
+                      fmt::format("evidence withdrawn fingerprint={:016x} target={}", static_cast<std::uint64_t>(it->first), target));
         record.suspicion = Suspicion::Suspect;
         it = record.evidence.empty() ? records_.erase(it) : std::next(it);
     }
--- a/src/control/SystemController.cpp
+++ b/src/control/SystemController.cpp
@@ -11,6 +11,7 @@
 constexpr double retryBurst = 20;
 // Bounds the work of one round: beyond it the freed capacity is gone.
 constexpr unsigned maxFruitlessTries = 8;
+constexpr double intervalWeight = 0.05;
 
 } // namespace
 
@@ -26,36 +27,50 @@
     retries.setRatio(spec.retryBudget);
 }
 
-void SystemState::wait(std::weak_ptr<CapacityWaiter> waiter, TimePoint now)
+void SystemState::wait(std::weak_ptr<CapacityWaiter> waiter)
 {
-    waiters_.push_back({std::move(waiter), now});
+    waiters_.push_back(std::move(waiter));
 }
 
 void SystemState::serveWaiters()
 {
-    std::deque<Entry> remaining;
+    std::deque<std::weak_ptr<CapacityWaiter>> remaining;
     unsigned fruitless = 0;
     while (!waiters_.empty() && fruitless < maxFruitlessTries) {
-        Entry entry = std::move(waiters_.front());
-        waiters_.pop_front();
-        const auto waiter = entry.waiter.lock();
-        if (!waiter) {
-            continue;
-        }
-        if (waiter->capacityFreed()) {
+        const auto waiter = waiters_.front().lock();
+        if (waiter && waiter->capacityFreed()) {
             ++fruitless;
-            remaining.push_back(std::move(entry));
+            remaining.push_back(std::move(waiters_.front()));
         }
+        waiters_.pop_front();
     }
     waiters_.insert(waiters_.begin(), std::make_move_iterator(remaining.begin()), std::make_move_iterator(remaining.end()));
 }
 
-Duration SystemState::oldestWait(TimePoint now)
+void SystemState::begun(TimePoint now)
 {
-    while (!waiters_.empty() && waiters_.front().waiter.expired()) {
-        waiters_.pop_front();
+    if (inFlight_ == 0) {
+        lastEnd_ = now;
     }
-    return waiters_.empty() ? Duration::zero() : now - waiters_.front().since;
+    ++inFlight_;
+}
+
+void SystemState::ended(TimePoint now)
+{
+    const auto interval = static_cast<double>((now - lastEnd_).count());
+    meanInterval_ += intervalWeight * (interval - meanInterval_);
+    lastEnd_ = now;
+    --inFlight_;
+}
+
+std::size_t SystemState::inFlight() const
+{
+    return inFlight_;
+}
+
+Duration SystemState::expectedStay() const
+{
+    return Duration(static_cast<Duration::rep>(meanInterval_ * static_cast<double>(inFlight_ + 1)));
 }
 
 void SystemController::apply(const EnvironmentDocument &document)
@@ -87,7 +102,7 @@
 {
     std::size_t total = 0;
     for (const auto &[name, system] : systems_) {
-        total += system->inFlight;
+        total += system->inFlight();
     }
     return total;
 }
--- a/src/control/SystemController.h
+++ b/src/control/SystemController.h
@@ -35,27 +35,33 @@
 
     void configure(const SystemSpec &spec);
 
-    std::size_t inFlight = 0; ///< Requests of callers and of other zones' entry hosts.
     Budget hedges;
     Budget retries;
     LatencyTracker latency; ///< Of subrequests that were answered.
 
     /// \brief Queues \p waiter behind those that wait already.
-    void wait(std::weak_ptr<CapacityWaiter> waiter, TimePoint now);
+    void wait(std::weak_ptr<CapacityWaiter> waiter);
 
     /// \brief Lets waiters try again in the order of their arrival.
     void serveWaiters();
 
-    /// \returns how long the first waiter has waited, zero when none does.
-    Duration oldestWait(TimePoint now);
+    /// \brief Tells that a request of a caller or of another zone's entry host was taken in.
+    void begun(TimePoint now);
 
-private:
-    struct Entry {
-        std::weak_ptr<CapacityWaiter> waiter;
-        TimePoint since;
-    };
+    /// \brief Tells that such a request has ended, however it did.
+    void ended(TimePoint now);
+
+    /// \returns requests that were taken in and have not ended.
+    std::size_t inFlight() const;
 
-    std::deque<Entry> waiters_;
+    /// \returns how long a request taken in now would stay, by the recent pace of ends (Little's law).
+    Duration expectedStay() const;
+
+private:
+    std::deque<std::weak_ptr<CapacityWaiter>> waiters_;
+    std::size_t inFlight_ = 0;
+    TimePoint lastEnd_{};     // Or the instant at which work began after a time without any.
+    double meanInterval_ = 0; // Microseconds between two ends while there is work; exponentially weighted.
 };
 
 /// \brief The states of all systems, by name.
--- a/src/control/TargetController.cpp
+++ b/src/control/TargetController.cpp
@@ -190,7 +190,7 @@
             continue;
         }
         anyUsable = true;
-        const auto permit = link.permit(wanted.deadline);
+        const auto permit = link.permit(wanted.need, wanted.deadline);
         if (permit) {
             candidates.push_back({&link, *permit});
         }
@@ -212,7 +212,7 @@
         if (zones.count(link->address().zone) == 0 || contains(wanted.avoid, seat)) {
             continue;
         }
-        const auto permit = link->permit(wanted.deadline);
+        const auto permit = link->permit(wanted.need, wanted.deadline);
         if (permit) {
             candidates.push_back({link.get(), *permit});
         }
--- a/src/control/TargetController.h
+++ b/src/control/TargetController.h
@@ -23,6 +23,7 @@
     std::span<const std::string> replicas; ///< Target names from the pinned shard map.
     std::span<const std::string> avoid;    ///< Links already tried, by name.
     std::int64_t snapshot = 0;             ///< Zero when any will do.
+    ConnectionNeed need = ConnectionNeed::Any;
     TimePoint deadline;
     bool mayUsePeers = true; ///< False for work that another zone's entry host asked for.
 };
--- a/src/control/TargetLink.cpp
+++ b/src/control/TargetLink.cpp
@@ -109,17 +109,17 @@
     limit_.setMaximum(limits.connections);
 }
 
-std::optional<SendPermit> TargetLink::permit(TimePoint deadline) const
+std::optional<SendPermit> TargetLink::permit(ConnectionNeed need, TimePoint deadline) const
 {
     if (!isWork(state())) {
         return std::nullopt;
     }
-    const auto choice = choose();
+    const auto choice = choose(need);
     if (!choice) {
         return std::nullopt;
     }
     if (!limits_.guardsColdStart) {
-        return inFlight_ < limit_.current() ? std::optional(SendPermit{deadline, false}) : std::nullopt;
+        return inFlight_ < limit_.current() ? std::optional(SendPermit{deadline, false, need}) : std::nullopt;
     }
     const ColdTurn turn = coldTurn(limits_.cold, environment_.clock.wallNow());
     const unsigned occupied = inFlight_ + static_cast<unsigned>(coldHolds_.size());
@@ -128,7 +128,7 @@
     }
     const bool maybeCold = state() == TargetState::Unknown || state() == TargetState::Cold;
     if (!maybeCold && choice->proved) {
-        return SendPermit{deadline, false};
+        return SendPermit{deadline, false, need};
     }
     if (coldInFlight() >= turn.permits) {
         return std::nullopt;
@@ -137,7 +137,7 @@
     if (latest - environment_.clock.now() < minColdTime) {
         return std::nullopt;
     }
-    return SendPermit{latest, true};
+    return SendPermit{latest, true, need};
 }
 
 unsigned TargetLink::sharedBound(unsigned coldPermits) const
@@ -163,13 +163,13 @@
     return count;
 }
 
-std::optional<TargetLink::Choice> TargetLink::choose() const
+std::optional<TargetLink::Choice> TargetLink::choose(ConnectionNeed need) const
 {
     const TimePoint now = environment_.clock.now();
     const LinkConnection *best = nullptr;
     ConnectionId bestId = ConnectionId::None;
     for (const auto &[id, connection] : connections_) {
-        if (connection.state != ConnectionState::Idle) {
+        if (connection.state != ConnectionState::Idle || need == ConnectionNeed::New) {
             continue;
         }
         const bool better
@@ -188,16 +188,16 @@
     return std::nullopt;
 }
 
-ExchangeId TargetLink::send(const SendPermit &permit, ConnectionNeed need, LinkRequest request)
+ExchangeId TargetLink::send(const SendPermit &permit, LinkRequest request)
 {
-    const auto choice = choose();
+    const auto choice = choose(permit.need);
     assert(choice && "send() needs a permit of the same instant");
     RunningExchange exchange;
     exchange.id = ExchangeId{++lastExchange_};
     exchange.request = std::move(request);
     exchange.sentAt = environment_.clock.now();
     exchange.cold = permit.cold;
-    exchange.need = need;
+    exchange.need = permit.need;
     const ExchangeId id = exchange.id;
     ++inFlight_;
     if (choice->existing == ConnectionId::None) {
@@ -393,6 +393,7 @@
 void TargetLink::learn(const RunningExchange &exchange, const TargetNotice &notice)
 {
     lastAnswer_ = environment_.clock.now();
+    newestAnswered_ = std::max(newestAnswered_, exchange.sentAt);
     if (!limits_.guardsColdStart) {
         // A peer's answer carries the notice of the target behind it.
         process(TargetEvent::AnsweredWarm, "it answered");
@@ -557,10 +558,15 @@
         if (!connection.exchange || connection.exchange->id != exchange) {
             continue;
         }
+        const TimePoint sentAt = connection.exchange->sentAt;
         connection.exchange->request.handler = nullptr;
         if (!connection.exchange->cold) {
             drop(id);
         }
+        if (sentAt < newestAnswered_) {
+            // Work sent later was answered first: this connection, and those that were quiet as long, may be silent.
+            suspectFellows(sentAt);
+        }
         return;
     }
 }
--- a/src/control/TargetLink.h
+++ b/src/control/TargetLink.h
@@ -29,6 +29,7 @@
 enum class ConnectionNeed {
     Any,               ///< Idempotent work: any usable connection.
     FreshOrJustProved, ///< Non-idempotent work: a connection that is new or is proved right before.
+    New,               ///< A new connection, because those that stand may be silent.
 };
 
 /// Identifies an exchange of one link; zero names none.
@@ -38,6 +39,7 @@
 struct SendPermit {
     TimePoint deadline; ///< The subrequest's deadline may not be later.
     bool cold = false;  ///< Counts against the cold share.
+    ConnectionNeed need = ConnectionNeed::Any;
 };
 
 /// \brief How a subrequest ended.
@@ -45,7 +47,7 @@
     std::error_code error;           ///< Set when there is no valid answer.
     bool bytesSent = false;          ///< Whether any byte of the request may have reached the target.
     std::optional<ShardReply> reply; ///< The answer; its request id and shard match the request.
-    std::string bootId = {}; ///< Known start of the target when the exchange ended.
+    std::string bootId = {};         ///< Known start of the target when the exchange ended.
 
     /// \returns what is known of whether the work was run.
     Verdict verdict() const;
@@ -54,10 +56,10 @@
 /// \brief A subrequest as handed to a link.
 struct LinkRequest {
     WireRequest wire;
-    std::string requestId;                  ///< The answer must repeat it.
-    std::int64_t shard = 0;                 ///< The answer must repeat it.
-    TimePoint deadline;                     ///< As sent to the target.
-    TimePoint silentAfter;                  ///< When an unanswered connection counts as silent.
+    std::string requestId;  ///< The answer must repeat it.
+    std::int64_t shard = 0; ///< The answer must repeat it.
+    TimePoint deadline;     ///< As sent to the target.
+    TimePoint silentAfter;  ///< When an unanswered connection counts as silent; at least the deadline where slow work is possible.
     std::function<void(LinkReply)> handler; ///< Called once unless the exchange is abandoned.
 };
 
@@ -92,10 +94,10 @@
     void setLimits(const LinkLimits &limits);
 
     /// \brief Asks whether work due at \p deadline may be sent now.
-    std::optional<SendPermit> permit(TimePoint deadline) const;
+    std::optional<SendPermit> permit(ConnectionNeed need, TimePoint deadline) const;
 
     /// \brief Sends one subrequest by a permit obtained at the same instant.
-    ExchangeId send(const SendPermit &permit, ConnectionNeed need, LinkRequest request);
+    ExchangeId send(const SendPermit &permit, LinkRequest request);
 
     /// \brief Gives up an exchange; its handler is not called any more.
     /// Its connection is closed, except that work on a cold share runs to its end.
@@ -136,7 +138,7 @@
         bool proved = false;
     };
 
-    std::optional<Choice> choose() const;
+    std::optional<Choice> choose(ConnectionNeed need) const;
     unsigned sharedBound(unsigned coldPermits) const;
     unsigned coldInFlight() const;
     ConnectionId open(std::optional<RunningExchange> exchange);
@@ -170,12 +172,13 @@
     std::vector<TimePoint> coldHolds_; // Work on the cold share whose end at the target is not known before then.
     std::string bootId_;
     bool lossUnexplained_ = false; // A connection was lost and no answer has shown since whether the target restarted.
-    std::string statusBootId_; // Last one that the status showed.
+    std::string statusBootId_;     // Last one that the status showed.
     std::vector<std::int64_t> snapshots_;
     Duration meanLatency_{};
     std::optional<TimePoint> lastAnswer_;
-    unsigned successes_ = 0; // Since the last cold start began.
-    unsigned growth_ = 0;    // Requests beyond the first that a warming target is given.
+    TimePoint newestAnswered_{}; // When the newest of the answered exchanges was sent.
+    unsigned successes_ = 0;     // Since the last cold start began.
+    unsigned growth_ = 0;        // Requests beyond the first that a warming target is given.
     bool listedLeaving_ = false;
     TimePoint nextConnect_{};
     Duration connectBackoff_;
--- a/src/request/FilterChain.cpp
+++ b/src/request/FilterChain.cpp
@@ -13,7 +13,8 @@
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusTooMany = 429;
 constexpr unsigned statusUnavailable = 503;
-constexpr int maxWaitParts = 4;
+// A request that would use more than this part of its deadline is refused: the estimate has errors on both sides.
+constexpr int stayParts = 2;
 
 /// Applies one filter; visited by FilterChain::check().
 class FilterVisitor
@@ -75,14 +76,14 @@
     std::optional<Refusal> operator()(const LoadFilter &) const
     {
         const SystemSpec &spec = *services_.configuration.current()->findSystem(admission_.system);
-        if (state().inFlight >= spec.maxInFlight) {
-            return refusal(statusTooMany, "overloaded", fmt::format("{} requests for '{}' are in flight", state().inFlight, spec.name));
+        if (state().inFlight() >= spec.maxInFlight) {
+            return refusal(statusTooMany, "overloaded", fmt::format("{} requests for '{}' are in flight", state().inFlight(), spec.name));
         }
         const Duration timeout = std::min(admission_.timeout.value_or(spec.hardDeadline), spec.hardDeadline);
-        const Duration waited = state().oldestWait(services_.clock.now());
-        if (waited > timeout / maxWaitParts) {
+        const Duration stay = state().expectedStay();
+        if (stay > timeout / stayParts) {
             return refusal(
-                statusTooMany, "overloaded", fmt::format("requests for '{}' have waited {} us for a target", spec.name, waited.count()));
+                statusTooMany, "overloaded", fmt::format("requests for '{}' take {} us at the present load", spec.name, stay.count()));
         }
         return std::nullopt;
     }
--- a/src/request/SearchOperation.cpp
+++ b/src/request/SearchOperation.cpp
@@ -18,10 +18,10 @@
 constexpr Duration retryPause = std::chrono::milliseconds(5);
 constexpr Duration pollInterval = std::chrono::milliseconds(10);
 constexpr Duration minHedgeDelay = std::chrono::milliseconds(1);
-// Share of the remaining time after which an unanswered connection counts as
+// Share of the remaining time after which an unanswered connection may be
 // silent: the other part must suffice for one more attempt.
 constexpr double silentShare = 0.4;
-constexpr double silentSharePeer = 0.6;
+constexpr Duration lastWord = std::chrono::milliseconds(10);
 constexpr double firstHedgeShare = 0.25;
 constexpr unsigned silentLatencies = 4;
 constexpr double minRestartShare = 0.25;
@@ -61,7 +61,7 @@
     system_ = document_->findSystem(query_.system);
     state_ = services_.systems.find(query_.system);
     assert(system_ != nullptr && state_ != nullptr && "the filters admit only known systems");
-    ++state_->inFlight;
+    state_->begun(services_.clock.now());
     minimumCoverage_ = std::max(system_->minimumCoverage, query_.minimumCoverage.value_or(0));
     const bool latencyPolicy = system_->policy == AnswerPolicy::Latency;
     softDeadline_ = latencyPolicy ? std::min(deadline_, startedAt_ + system_->softDeadline) : deadline_;
@@ -142,7 +142,7 @@
     sending_ = false;
     if (handler_ && !queued_ && anyPending()) {
         queued_ = true;
-        state_->wait(weak_from_this(), now);
+        state_->wait(weak_from_this());
     }
 }
 
@@ -156,10 +156,10 @@
     }
 }
 
-ReplicaWanted SearchOperation::wanted(const ShardProgress &shard, const std::vector<std::string> &avoid) const
+ReplicaWanted SearchOperation::wanted(const ShardProgress &shard, const std::vector<std::string> &avoid, ConnectionNeed need) const
 {
     const EnvironmentPtr &newest = services_.configuration.current();
-    return {*newest, shard.spec->targets, avoid, snapshot_, deadline_, true};
+    return {*newest, shard.spec->targets, avoid, snapshot_, need, deadline_, true};
 }
 
 void SearchOperation::sendShard(ShardProgress &shard)
@@ -168,10 +168,9 @@
         shard.lastFailure = "no snapshot known";
         return;
     }
-    std::vector<std::string> avoid = shard.tried;
-    avoid.insert(avoid.end(), shard.lacking.begin(), shard.lacking.end());
+    const std::vector<std::string> avoid = avoided(shard);
     NoRoute why = NoRoute::Busy;
-    const auto route = services_.targets.pick(wanted(shard, avoid), why);
+    const auto route = services_.targets.pick(wanted(shard, avoid, ConnectionNeed::Any), why);
     if (!route) {
         if (why == NoRoute::NoReplica && !shard.tried.empty()) {
             // Every replica was tried: the next round may try them again.
@@ -244,10 +243,8 @@
     request.requestId = message.requestId;
     request.shard = message.shard;
     request.deadline = route.permit.deadline;
-    const Duration remaining = route.permit.deadline - now;
-    const Duration share = scaled(remaining, route.viaPeer ? silentSharePeer : silentShare);
-    request.silentAfter
-        = route.permit.cold ? route.permit.deadline : now + std::min(remaining, std::max(share, silentLatencies * state_->latency.p95()));
+    // An attempt may take all the time there is: an unanswered connection is only given up for an answered one.
+    request.silentAfter = route.permit.deadline + lastWord;
     request.handler = [weak = weak_from_this(), shardIndex, number = attempt.number](LinkReply reply) {
         if (const auto self = weak.lock()) {
             self->replied(shardIndex, number, std::move(reply));
@@ -272,8 +269,9 @@
     shard.state = ShardState::Running;
     shard.everSent = true;
     shard.hedgeAt = now + hedgeDelay();
+    shard.secondAt = now + std::max(scaled(deadline_ - now, silentShare), silentLatencies * state_->latency.p95());
     shard.attempts.push_back(attempt);
-    const ExchangeId exchange = route.link->send(route.permit, ConnectionNeed::Any, std::move(request));
+    const ExchangeId exchange = route.link->send(route.permit, std::move(request));
     for (Attempt &sent : shard.attempts) {
         if (sent.number == attempt.number) {
             sent.exchange = exchange;
@@ -363,7 +361,7 @@
                                        shard.lastFailure));
     const bool lacksSnapshot = otherSnapshot || (reply.reply && reply.reply->outcome == ShardOutcome::SnapshotUnavailable);
     std::vector<std::string> &list = lacksSnapshot ? shard.lacking : shard.tried;
-    // A silent connection says nothing against the target itself: a new connection may reach it.
+    // A silent connection says nothing against the target itself.
     const bool silent = reply.error == make_error_code(TransportError::Silent);
     if (!silent && !isTried(list, attempt.linkName)) {
         list.push_back(attempt.linkName);
@@ -417,29 +415,40 @@
     shard.attempts.clear();
 }
 
-void SearchOperation::hedgeDue()
+void SearchOperation::secondAttemptsDue()
 {
     const TimePoint now = services_.clock.now();
     if (services_.quarantine.suspicion(fingerprint_) != Suspicion::None || !services_.pause.fresh(now)) {
         return;
     }
     for (ShardProgress &shard : shards_) {
-        if (shard.state != ShardState::Running || shard.attempts.size() != 1 || shard.hedgeAt > now) {
+        if (shard.state != ShardState::Running || shard.attempts.size() != 1) {
             continue;
         }
-        hedge(shard);
+        if (shard.hedgeAt <= now) {
+            hedge(shard);
+        }
+        if (shard.secondAt <= now && shard.attempts.size() == 1) {
+            tryNewConnection(shard);
+        }
     }
 }
 
+std::vector<std::string> SearchOperation::avoided(const ShardProgress &shard) const
+{
+    std::vector<std::string> avoid = shard.tried;
+    avoid.insert(avoid.end(), shard.lacking.begin(), shard.lacking.end());
+    return avoid;
+}
+
 void SearchOperation::hedge(ShardProgress &shard)
 {
     // One decision an attempt: without budget or replica the first attempt stays alone.
     shard.hedgeAt = TimePoint::max();
-    std::vector<std::string> avoid = shard.tried;
-    avoid.insert(avoid.end(), shard.lacking.begin(), shard.lacking.end());
+    std::vector<std::string> avoid = avoided(shard);
     avoid.push_back(shard.attempts.front().linkName);
     NoRoute why = NoRoute::Busy;
-    const auto route = services_.targets.pick(wanted(shard, avoid), why);
+    const auto route = services_.targets.pick(wanted(shard, avoid, ConnectionNeed::Any), why);
     if (!route || route->permit.cold || !state_->hedges.spend()) {
         return;
     }
@@ -448,6 +457,25 @@
     shard.hedgeAt = TimePoint::max();
 }
 
+void SearchOperation::tryNewConnection(ShardProgress &shard)
+{
+    NoRoute why = NoRoute::Busy;
+    const auto route = services_.targets.pick(wanted(shard, avoided(shard), ConnectionNeed::New), why);
+    if (!route) {
+        // Its turn at a target that may be cold may still come.
+        shard.secondAt = services_.clock.now() + pollInterval;
+        return;
+    }
+    shard.secondAt = TimePoint::max();
+    if (!state_->retries.spend()) {
+        return;
+    }
+    services_.counters.add("magnoliaspan_silent_attempts_total");
+    dispatch(shard, *route, true, false);
+    shard.hedgeAt = TimePoint::max();
+    shard.secondAt = TimePoint::max();
+}
+
 TimePoint SearchOperation::nextDue() const
 {
     const TimePoint now = services_.clock.now();
@@ -456,7 +484,7 @@
         if (shard.state == ShardState::Pending) {
             due = std::min(due, std::max(shard.notBefore, now + pollInterval));
         } else if (shard.state == ShardState::Running && shard.attempts.size() == 1) {
-            due = std::min(due, std::max(shard.hedgeAt, now));
+            due = std::min(due, std::max(std::min(shard.hedgeAt, shard.secondAt), now));
         }
     }
     return due;
@@ -484,7 +512,7 @@
         finish();
         return;
     }
-    hedgeDue();
+    secondAttemptsDue();
     sendPending();
     if (handler_) {
         arm();
@@ -561,7 +589,7 @@
     for (ShardProgress &shard : shards_) {
         cancelAttempts(shard);
     }
-    --state_->inFlight;
+    state_->ended(services_.clock.now());
     const Duration elapsed = services_.clock.now() - startedAt_;
     services_.counters.observe("magnoliaspan_search_seconds", elapsed);
     const Coverage covered = coverage();
@@ -590,7 +618,7 @@
     for (ShardProgress &shard : shards_) {
         cancelAttempts(shard);
     }
-    --state_->inFlight;
+    state_->ended(services_.clock.now());
     services_.counters.add("magnoliaspan_searches_total{result=\"caller_left\"}");
     services_.journal.note(Part::Route, query_.requestId, "search abandoned reason=\"the caller left\"");
 }
--- a/src/request/SearchOperation.h
+++ b/src/request/SearchOperation.h
@@ -56,7 +56,8 @@
         std::vector<std::string> tried;   // Links not to be tried again now.
         std::vector<std::string> lacking; // Links that do not hold the pinned snapshot.
         TimePoint notBefore;              // Earliest next attempt.
-        TimePoint hedgeAt;                // When a second attempt may start.
+        TimePoint hedgeAt;                // When the only attempt is hedged.
+        TimePoint secondAt;               // When the connection of the only attempt may be silent, so that another is tried.
         bool everSent = false;
         bool needsRetryToken = false;
         std::string lastFailure = "not sent";
@@ -76,8 +77,10 @@
     void failed(ShardProgress &shard, const Attempt &attempt, const LinkReply &reply);
     void judgeLoss(const Attempt &attempt, const LinkReply &reply);
     bool restartIfUnavailable(ShardProgress &shard);
-    void hedgeDue();
+    void secondAttemptsDue();
+    std::vector<std::string> avoided(const ShardProgress &shard) const;
     void hedge(ShardProgress &shard);
+    void tryNewConnection(ShardProgress &shard);
     void cancelAttempts(ShardProgress &shard);
     void wake();
     void arm();
@@ -89,7 +92,7 @@
     Coverage coverage() const;
     std::vector<Hit> mergedHits();
     Duration hedgeDelay() const;
-    ReplicaWanted wanted(const ShardProgress &shard, const std::vector<std::string> &avoid) const;
+    ReplicaWanted wanted(const ShardProgress &shard, const std::vector<std::string> &avoid, ConnectionNeed need) const;
 
     RequestServices &services_;
     SearchQuery query_;
--- a/src/request/SingleShardOperation.cpp
+++ b/src/request/SingleShardOperation.cpp
@@ -15,8 +15,8 @@
 
 constexpr Duration retryPause = std::chrono::milliseconds(5);
 constexpr Duration pollInterval = std::chrono::milliseconds(10);
-// An idempotent attempt leaves as much time for one more.
-constexpr int silentParts = 2;
+// An unanswered attempt leaves as much time for another on a new connection.
+constexpr int silentParts = 2; // Of the time to the deadline.
 // The answer to non-idempotent work is awaited a little longer than its
 // deadline, because it may say for certain what became of it.
 constexpr Duration lastWord = std::chrono::milliseconds(10);
@@ -51,7 +51,7 @@
 
 void SingleShardOperation::start()
 {
-    ++state_->inFlight;
+    state_->begun(services_.clock.now());
     trySend();
     if (handler_) {
         arm();
@@ -60,17 +60,28 @@
 
 bool SingleShardOperation::capacityFreed()
 {
-    if (handler_ && !running_) {
+    if (handler_ && running_.empty()) {
         trySend();
     }
-    queued_ = handler_ && !running_;
+    queued_ = handler_ && running_.empty();
     return queued_;
 }
 
+ConnectionNeed SingleShardOperation::need() const
+{
+    return isIdempotent(work_) ? ConnectionNeed::Any : ConnectionNeed::FreshOrJustProved;
+}
+
+std::optional<Route> SingleShardOperation::pick(ConnectionNeed connection, NoRoute &why)
+{
+    const EnvironmentPtr document = services_.configuration.current();
+    return services_.targets.pick({*document, replicas_, tried_, snapshotOf(work_), connection, deadline_, mayUsePeers_}, why);
+}
+
 void SingleShardOperation::trySend()
 {
     const TimePoint now = services_.clock.now();
-    if (!handler_ || running_ || now < notBefore_ || !services_.pause.fresh(now)) {
+    if (!handler_ || !running_.empty() || now < notBefore_ || !services_.pause.fresh(now)) {
         return;
     }
     const Suspicion suspicion = services_.quarantine.suspicion(fingerprint_);
@@ -78,18 +89,16 @@
         end({verdict_, std::nullopt, "quarantined"});
         return;
     }
-    const EnvironmentPtr document = services_.configuration.current();
     NoRoute why = NoRoute::Busy;
-    const auto route = services_.targets.pick({*document, replicas_, tried_, snapshotOf(work_), deadline_, mayUsePeers_}, why);
+    const auto route = pick(need(), why);
     if (!route) {
-        const bool triedAll = why == NoRoute::NoReplica && !tried_.empty();
-        if (triedAll) {
+        if (why == NoRoute::NoReplica && !tried_.empty()) {
             tried_.clear();
             notBefore_ = now + retryPause;
         }
         if (!queued_) {
             queued_ = true;
-            state_->wait(weak_from_this(), now);
+            state_->wait(weak_from_this());
         }
         return;
     }
@@ -105,12 +114,33 @@
     dispatch(*route, singleRun);
 }
 
+void SingleShardOperation::tryNewConnection()
+{
+    const TimePoint now = services_.clock.now();
+    const bool alone = isIdempotent(work_) && running_.size() == 1 && !running_.front().singleRun;
+    if (!alone || now < secondAt_ || !services_.pause.fresh(now)) {
+        return;
+    }
+    NoRoute why = NoRoute::Busy;
+    const auto route = pick(ConnectionNeed::New, why);
+    if (!route || !state_->retries.spend()) {
+        secondAt_ = now + pollInterval;
+        return;
+    }
+    dispatch(*route, false);
+}
+
 void SingleShardOperation::dispatch(const Route &route, bool singleRun)
 {
     const TimePoint now = services_.clock.now();
-    const std::string linkName = route.link->address().name;
+    Attempt attempt;
+    attempt.number = ++attempts_;
+    attempt.link = route.link;
+    attempt.linkName = route.link->address().name;
+    attempt.viaPeer = route.viaPeer;
+    attempt.singleRun = singleRun;
     LinkRequest request;
-    request.requestId = fmt::format("{}.{}.{}", services_.seat, operation_, ++attempts_);
+    request.requestId = fmt::format("{}.{}.{}", services_.seat, operation_, attempt.number);
     request.shard = shardOf(work_);
     request.wire.path = pathOf(work_, route.viaPeer);
     request.wire.body = encodeAs(work_, request.requestId, services_.clock.toWall(route.permit.deadline));
@@ -118,12 +148,10 @@
         request.wire.authorization = services_.authorize(request.wire.path, request.wire.body);
     }
     request.deadline = route.permit.deadline;
-    const Duration remaining = route.permit.deadline - now;
-    const bool retriable = isIdempotent(work_) && !route.permit.cold;
-    request.silentAfter = retriable ? now + remaining / silentParts : route.permit.deadline + lastWord;
-    request.handler = [weak = weak_from_this(), linkName, viaPeer = route.viaPeer, singleRun](LinkReply reply) {
+    request.silentAfter = route.permit.deadline + lastWord;
+    request.handler = [weak = weak_from_this(), number = attempt.number](LinkReply reply) {
         if (const auto self = weak.lock()) {
-            self->replied(linkName, viaPeer, singleRun, std::move(reply));
+            self->replied(number, std::move(reply));
         }
     };
     state_->retries.earn();
@@ -133,22 +161,28 @@
                            fmt::format("work sent shard={} {}={} attempt={} reason=\"{}\"",
                                        request.shard,
                                        route.viaPeer ? "seat" : "target",
-                                       linkName,
-                                       attempts_,
+                                       attempt.linkName,
+                                       attempt.number,
                                        route.reason));
-    running_ = true;
-    link_ = route.link;
-    const ConnectionNeed need = isIdempotent(work_) ? ConnectionNeed::Any : ConnectionNeed::FreshOrJustProved;
-    exchange_ = route.link->send(route.permit, need, std::move(request));
+    secondAt_ = now + (deadline_ - now) / silentParts;
+    running_.push_back(attempt);
+    const ExchangeId exchange = route.link->send(route.permit, std::move(request));
+    running_.back().exchange = exchange;
 }
 
-void SingleShardOperation::replied(const std::string &linkName, bool viaPeer, bool singleRun, LinkReply reply)
+void SingleShardOperation::replied(unsigned number, LinkReply reply)
 {
-    running_ = false;
-    judgeLoss(linkName, viaPeer, singleRun, reply);
+    const auto found
+        = std::find_if(running_.begin(), running_.end(), [number](const Attempt &attempt) { return attempt.number == number; });
+    if (found == running_.end() || !handler_) {
+        return;
+    }
+    const Attempt attempt = *found;
+    running_.erase(found);
+    const auto self = shared_from_this();
+    judgeLoss(attempt, reply);
     verdict_ = combine(verdict_, reply.verdict());
-    const bool answered = reply.reply && reply.reply->outcome == ShardOutcome::Answered;
-    if (answered) {
+    if (reply.reply && reply.reply->outcome == ShardOutcome::Answered) {
         end({verdict_, std::move(reply.reply), ""});
         return;
     }
@@ -156,15 +190,16 @@
     services_.journal.note(
         isIdempotent(work_) ? Part::Route : Part::Submit,
         requestId_,
-        fmt::format("work failed shard={} link={} reason={} verdict={}", shardOf(work_), linkName, failure_, toString(reply.verdict())));
-    if (!handler_) {
+        fmt::format(
+            "work failed shard={} link={} reason={} verdict={}", shardOf(work_), attempt.linkName, failure_, toString(reply.verdict())));
+    if (!running_.empty()) {
         return;
     }
     if (!mayTryAgain(reply)) {
         end({verdict_, std::move(reply.reply), failure_});
         return;
     }
-    rememberTried(linkName, reply);
+    rememberTried(attempt.linkName, reply);
     lastReply_ = std::move(reply.reply);
     // What never reached the target cost it nothing.
     needsRetryToken_ = reply.bytesSent;
@@ -174,21 +209,33 @@
     }
 }
 
-void SingleShardOperation::judgeLoss(const std::string &linkName, bool viaPeer, bool singleRun, const LinkReply &reply)
+void SingleShardOperation::judgeLoss(const Attempt &attempt, const LinkReply &reply)
 {
     const bool lost = reply.error == make_error_code(TransportError::ConnectionLost) && reply.bytesSent;
-    if (lost && !viaPeer) {
-        services_.quarantine.targetLost(fingerprint_, linkName, reply.bootId, singleRun);
+    if (lost && !attempt.viaPeer) {
+        services_.quarantine.targetLost(fingerprint_, attempt.linkName, reply.bootId, attempt.singleRun);
         return;
     }
     if (reply.reply && reply.reply->outcome == ShardOutcome::Answered) {
-        services_.quarantine.completed(fingerprint_, singleRun);
+        services_.quarantine.completed(fingerprint_, attempt.singleRun);
     }
-    if (singleRun) {
+    if (attempt.singleRun) {
         services_.quarantine.releaseSingleRun(fingerprint_);
     }
 }
 
+void SingleShardOperation::cancelAttempts()
+{
+    for (const Attempt &attempt : running_) {
+        attempt.link->abandon(attempt.exchange);
+        verdict_ = combine(verdict_, Verdict::MayHaveRun);
+        if (attempt.singleRun) {
+            services_.quarantine.releaseSingleRun(fingerprint_);
+        }
+    }
+    running_.clear();
+}
+
 bool SingleShardOperation::mayTryAgain(const LinkReply &reply) const
 {
     if (services_.clock.now() >= deadline_) {
@@ -218,8 +265,9 @@
     }
     Handler handler = std::move(handler_);
     handler_ = nullptr;
+    cancelAttempts();
     services_.scheduler.cancel(timer_);
-    --state_->inFlight;
+    state_->ended(services_.clock.now());
     handler(std::move(result));
 }
 
@@ -228,13 +276,10 @@
     if (!handler_ || !isIdempotent(work_)) {
         return false;
     }
-    if (running_) {
-        link_->abandon(exchange_);
-        running_ = false;
-    }
+    cancelAttempts();
     handler_ = nullptr;
     services_.scheduler.cancel(timer_);
-    --state_->inFlight;
+    state_->ended(services_.clock.now());
     return true;
 }
 
@@ -244,16 +289,17 @@
         return;
     }
     const TimePoint now = services_.clock.now();
-    if (now >= deadline_ && !running_) {
+    const bool over = now >= deadline_;
+    if (over && running_.empty()) {
         end({verdict_, std::move(lastReply_), failure_});
         return;
     }
-    if (now >= deadline_ && isIdempotent(work_)) {
-        link_->abandon(exchange_);
-        running_ = false;
-        end({combine(verdict_, Verdict::MayHaveRun), std::nullopt, "not answered in time"});
+    if (over && isIdempotent(work_)) {
+        cancelAttempts();
+        end({verdict_, std::nullopt, "not answered in time"});
         return;
     }
+    tryNewConnection();
     trySend();
     if (handler_) {
         arm();
@@ -264,7 +310,9 @@
 {
     services_.scheduler.cancel(timer_);
     const TimePoint now = services_.clock.now();
-    const TimePoint due = running_ ? std::max(deadline_, now + pollInterval) : std::min(deadline_, now + pollInterval);
+    const TimePoint waiting
+        = isIdempotent(work_) ? std::min(deadline_, std::max(secondAt_, now + pollInterval)) : std::max(deadline_, now + pollInterval);
+    const TimePoint due = running_.empty() ? std::min(deadline_, now + pollInterval) : waiting;
     timer_ = services_.scheduler.callAt(due, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->wake();
--- a/src/request/SingleShardOperation.h
+++ b/src/request/SingleShardOperation.h
@@ -52,9 +52,23 @@
 
 private:
     void trySend();
+    /// One subrequest that runs.
+    struct Attempt {
+        unsigned number = 0;
+        TargetLink *link = nullptr; // Valid while the exchange runs.
+        ExchangeId exchange = ExchangeId::None;
+        std::string linkName;
+        bool viaPeer = false;
+        bool singleRun = false;
+    };
+
+    ConnectionNeed need() const;
+    std::optional<Route> pick(ConnectionNeed connection, NoRoute &why);
+    void tryNewConnection();
     void dispatch(const Route &route, bool singleRun);
-    void replied(const std::string &linkName, bool viaPeer, bool singleRun, LinkReply reply);
-    void judgeLoss(const std::string &linkName, bool viaPeer, bool singleRun, const LinkReply &reply);
+    void replied(unsigned number, LinkReply reply);
+    void judgeLoss(const Attempt &attempt, const LinkReply &reply);
+    void cancelAttempts();
     bool mayTryAgain(const LinkReply &reply) const;
     void rememberTried(const std::string &linkName, const LinkReply &reply);
     void end(SingleShardResult result);
@@ -75,9 +89,8 @@
     std::string failure_ = "no usable replica";
     std::optional<ShardReply> lastReply_;
     Verdict verdict_ = Verdict::NotRun;
-    TargetLink *link_ = nullptr; // Valid while running_.
-    ExchangeId exchange_ = ExchangeId::None;
-    bool running_ = false;
+    std::vector<Attempt> running_; // At most two, and at most one of non-idempotent work.
+    TimePoint secondAt_;           // When the connection of the only attempt may be silent.
     bool queued_ = false;
     bool needsRetryToken_ = false;
     unsigned attempts_ = 0;
--- a/tests/scenario/FakeWorld.cpp
+++ b/tests/scenario/FakeWorld.cpp
@@ -81,6 +81,9 @@
 void FakeWorld::startHost(Host &host)
 {
     ++host.starts;
+    if (host.time) {
+        endedTimes_.push_back(std::move(host.time));
+    }
     host.time = std::make_unique<ProcessTime>(time_, host.seat.clockOffset);
     host.transport = std::make_unique<FakeTransport>(network_, *host.time, host.seat.name, host.seat.zone);
     host.platform
--- a/tests/scenario/FakeWorld.h
+++ b/tests/scenario/FakeWorld.h
@@ -82,6 +82,7 @@
     TimePoint startedAt_;
     ProcessTime platformTime_;
     PlatformModel platform_;
+    std::vector<std::unique_ptr<ProcessTime>> endedTimes_; // Connections of ended processes may still refer to them.
     std::map<std::string, Host> hosts_;
     std::map<std::string, Target> targets_;
     std::map<std::string, Call> calls_;
