--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -104,7 +104,7 @@
         serving_.configurationAccepted();
         capacityFreed();
     });
-    quarantine_.onEvidence([this](Fingerprint, Suspicion) { peers_.tellAll(); });
+    quarantine_.onEvidence([this](Fingerprint, Suspicion) { peers_.tellNews(); });
     membership_.onChange([this](const MembershipReading &reading) { targets_.apply(reading); });
 }
 
@@ -137,7 +137,7 @@
     if (pause_.observe(now)) {
         journal_.note(Part::Pause, "", "process was paused, new work waits for a reading");
         platform_.refresh();
-        peers_.tellAll();
+        peers_.tellNews();
     }
     peers_.tick();
     if (now >= nextLinkTick_) {
--- a/src/peer/HomeLease.h
+++ b/src/peer/HomeLease.h
@@ -25,7 +25,7 @@
 {
 public:
     /// Time for which a confirmation holds.
-    static constexpr std::chrono::milliseconds lease{2'000};
+    static constexpr std::chrono::milliseconds lease{5'000};
 
     /// \brief Sets the number of published seats, this one counted; forgets confirmations of other seats.
     void setSeats(std::size_t count);
--- a/src/peer/PeerController.cpp
+++ b/src/peer/PeerController.cpp
@@ -10,9 +10,12 @@
 
 namespace {
 
-constexpr Duration helloInterval = std::chrono::milliseconds(500);
+// Two rounds fit into a home lease.
+constexpr Duration helloInterval = std::chrono::seconds(2);
 constexpr Duration answerTime = std::chrono::milliseconds(400);
-constexpr std::size_t maxHellosAtOnce = 8;
+constexpr std::size_t peersPerRound = 4;
+// News reaches n hosts in about log(n) / log(9) steps.
+constexpr std::size_t peersPerNews = 8;
 constexpr std::string_view controlPath = "/peer/rpc";
 constexpr unsigned statusOk = 200;
 
@@ -67,7 +70,7 @@
     }
     channels_ = std::move(channels);
     lease_.setSeats(document.seats.size());
-    tellAll();
+    tellNews();
 }
 
 void PeerController::tick()
@@ -77,23 +80,22 @@
         return;
     }
     nextHello_ = now + helloInterval;
-    std::vector<std::string> seats;
-    for (const auto &[seat, channel] : channels_) {
-        seats.push_back(seat);
-    }
-    std::shuffle(seats.begin(), seats.end(), random_);
-    seats.resize(std::min(seats.size(), maxHellosAtOnce));
-    for (const std::string &seat : seats) {
-        hello(seat);
-    }
+    tell(peersPerRound);
+}
+
+void PeerController::tellNews()
+{
+    tell(peersPerNews);
 }
 
-void PeerController::tellAll()
+void PeerController::tell(std::size_t count)
 {
     std::vector<std::string> seats;
     for (const auto &[seat, channel] : channels_) {
         seats.push_back(seat);
     }
+    std::shuffle(seats.begin(), seats.end(), random_);
+    seats.resize(std::min(seats.size(), count));
     for (const std::string &seat : seats) {
         hello(seat);
     }
@@ -102,7 +104,7 @@
 void PeerController::setLeaving()
 {
     leaving_ = true;
-    tellAll();
+    tellNews();
 }
 
 std::string PeerController::dispatch(const std::string &body)
--- a/src/peer/PeerController.h
+++ b/src/peer/PeerController.h
@@ -55,8 +55,8 @@
     /// \brief Says hello to the peers whose turn it is; must be called at least every helloInterval / 5.
     void tick();
 
-    /// \brief Says hello to all peers now.
-    void tellAll();
+    /// \brief Says hello to a larger number of peers now.
+    void tellNews();
 
     /// \brief From now on tells the peers that this host leaves.
     void setLeaving();
@@ -87,6 +87,7 @@
     };
 
     PeerState ownState(const std::string &asker) const;
+    void tell(std::size_t count);
     void hello(const std::string &seat);
     void send(const std::string &seat, const std::string &body, std::function<void(const std::string &reply)> handler);
     void exchange(const std::string &seat,
