--- a/src/net/HttpPlatformSource.cpp
+++ b/src/net/HttpPlatformSource.cpp
@@ -15,8 +15,9 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds watchTime{5'000};
-constexpr Duration answerTime = std::chrono::seconds(2);
+// A watch that goes silent is noticed after the sum of both, which must leave time within six seconds.
+constexpr std::chrono::milliseconds watchTime{3'000};
+constexpr Duration answerTime = std::chrono::milliseconds(1'500);
 constexpr unsigned statusOk = 200;
 
 std::string query(std::int64_t after)
--- a/src/peer/PeerController.cpp
+++ b/src/peer/PeerController.cpp
@@ -274,16 +274,19 @@
         services_.journal.note(Part::Peer, "", fmt::format("answer refused seat={} reason=\"malformed or of another version\"", seat));
         return;
     }
-    services_.pause.confirm(asked);
     const bool newerProcess = state->newestStart > startedAt_.time_since_epoch().count();
     if (newerProcess && !lease_.isSuperseded()) {
         lease_.superseded();
         services_.journal.note(
             Part::Peer, "", fmt::format("another process was started in this seat later seat={} heard_from={}", seat_, seat));
     }
-    if (!newerProcess && state->generation <= services_.configuration.generation()) {
+    const bool nothingNewer = state->generation <= services_.configuration.generation();
+    if (!newerProcess && nothingNewer) {
         lease_.confirmed(seat, askedWall);
     }
+    if (nothingNewer) {
+        services_.pause.confirm(asked);
+    }
     learn(*state);
 }
 
@@ -326,10 +329,12 @@
         channel.again = true;
         return;
     }
-    send(seat, PeerCodec::encodeFetch(), [this, seat](const std::string &reply) {
+    const TimePoint asked = services_.clock.now();
+    send(seat, PeerCodec::encodeFetch(), [this, seat, asked](const std::string &reply) {
         const auto document = PeerCodec::decodeDocument(reply);
         if (document && !document->empty()) {
             services_.configuration.offer(*document, "peer " + seat);
+            services_.pause.confirm(asked);
         }
     });
 }
--- a/src/request/SearchOperation.cpp
+++ b/src/request/SearchOperation.cpp
@@ -24,6 +24,7 @@
 constexpr Duration lastWord = std::chrono::milliseconds(10);
 constexpr double firstHedgeShare = 0.25;
 constexpr unsigned silentLatencies = 4;
+constexpr unsigned hedgeMedians = 2;
 constexpr double minRestartShare = 0.25;
 constexpr unsigned statusUnavailable = 503;
 
@@ -285,7 +286,8 @@
     if (measured.count() == 0) {
         return scaled(deadline_ - startedAt_, firstHedgeShare);
     }
-    return std::max(minHedgeDelay, measured);
+    // Where latencies hardly vary, the 95th percentile alone would spend the budget on attempts that are about to end.
+    return std::max({minHedgeDelay, measured, hedgeMedians * state_->latency.median()});
 }
 
 void SearchOperation::replied(std::size_t shardIndex, std::uint64_t attemptNumber, LinkReply reply)
--- a/tests/scenario/FakeNetwork.cpp
+++ b/tests/scenario/FakeNetwork.cpp
@@ -81,7 +81,7 @@
     /// The other end is gone.
     void breakNow()
     {
-        if (!open_) {
+        if (!open_ || silent()) {
             return;
         }
         open_ = false;
--- a/tests/scenario/FakeWorld.cpp
+++ b/tests/scenario/FakeWorld.cpp
@@ -225,6 +225,18 @@
     placeTarget(target->second);
 }
 
+void FakeWorld::replace(const std::string &host)
+{
+    note("replace " + host);
+    Host &seat = hosts_.at(host);
+    Host &old = hosts_[host + ".old"];
+    old = std::move(seat);
+    seat = Host{};
+    seat.seat = old.seat;
+    seat.starts = old.starts;
+    startHost(seat);
+}
+
 ProcessTime *FakeWorld::timeOf(const std::string &name)
 {
     const auto target = targets_.find(name);
--- a/tests/scenario/FakeWorld.h
+++ b/tests/scenario/FakeWorld.h
@@ -33,6 +33,7 @@
     TargetRecord record(const std::string &target) override;
     void kill(const std::string &name) override;
     void restart(const std::string &name, bool cold) override;
+    void replace(const std::string &host) override;
     void freeze(const std::string &name, bool frozen) override;
     bool link(const std::string &from, const std::string &to, const std::string &condition, Duration by) override;
     bool platform(const std::string &mode) override;
--- a/tests/scenario/ProcessWorld.cpp
+++ b/tests/scenario/ProcessWorld.cpp
@@ -330,6 +330,11 @@
     }
 }
 
+void ProcessWorld::replace(const std::string &host)
+{
+    throw ScriptError(fmt::format("{} cannot be replaced: two processes cannot share a port", host));
+}
+
 void ProcessWorld::freeze(const std::string &name, bool frozen)
 {
     ::kill(processes_.at(name).pid, frozen ? SIGSTOP : SIGCONT);
--- a/tests/scenario/Runner.cpp
+++ b/tests/scenario/Runner.cpp
@@ -101,13 +101,15 @@
         world_.kill(word(0));
     } else if (step.verb == "restart") {
         world_.restart(word(0), step.option("cold", "no") == "yes");
+    } else if (step.verb == "replace") {
+        world_.replace(word(0));
     } else if (step.verb == "freeze" || step.verb == "thaw") {
         world_.freeze(word(0), step.verb == "freeze");
     } else if (step.verb == "link") {
         link(step);
     } else if (step.verb == "platform") {
         if (!world_.platform(word(0))) {
-            step.fail("the platform is up, down, stale or slow");
+            step.fail("the platform is up, down, stale, past or slow");
         }
     } else if (step.verb == "list") {
         world_.list(word(0), word(1) == "leaving");
@@ -206,6 +208,7 @@
         return;
     }
     builder_.change(step);
+    world_.note(fmt::format("publish generation={}", builder_.generation));
     world_.publish(builder_.text());
 }
 
--- a/tests/scenario/Script.cpp
+++ b/tests/scenario/Script.cpp
@@ -35,6 +35,7 @@
     Verb{"set", 1, "*"},
     Verb{"kill", 1, ""},
     Verb{"restart", 1, "cold"},
+    Verb{"replace", 1, ""},
     Verb{"freeze", 1, ""},
     Verb{"thaw", 1, ""},
     Verb{"link", 3, "by"},
--- a/tests/scenario/World.h
+++ b/tests/scenario/World.h
@@ -50,6 +50,8 @@
     virtual TargetRecord record(const std::string &target) = 0;
     virtual void kill(const std::string &name) = 0;
     virtual void restart(const std::string &name, bool cold) = 0;
+    /// Starts another process in the seat of \p host; the old one goes on as "NAME.old", reached by callers only.
+    virtual void replace(const std::string &host) = 0;
     virtual void freeze(const std::string &name, bool frozen) = 0;
     virtual bool link(const std::string &from, const std::string &to, const std::string &condition, Duration by) = 0;
     virtual bool platform(const std::string &mode) = 0;
--- a/tests/standins/PlatformModel.cpp
+++ b/tests/standins/PlatformModel.cpp
@@ -60,6 +60,9 @@
 
 const PlatformModel::Published &PlatformModel::document() const
 {
+    if (mode_ == "past") {
+        return documents_.front();
+    }
     return mode_ == "stale" ? documents_.at(staleDocuments_ - 1) : documents_.back();
 }
 
@@ -127,7 +130,7 @@
 
 bool PlatformModel::setMode(const std::string &mode)
 {
-    if (mode != "up" && mode != "down" && mode != "stale" && mode != "slow") {
+    if (mode != "up" && mode != "down" && mode != "stale" && mode != "past" && mode != "slow") {
         return false;
     }
     mode_ = mode;
--- a/tests/standins/PlatformModel.h
+++ b/tests/standins/PlatformModel.h
@@ -30,7 +30,8 @@
     /// Publishes the state of one target, with the next revision.
     void list(const std::string &target, bool leaving);
 
-    /// Sets how it behaves: up, down, stale (answers with the past), or slow (answers late). \returns false for another word.
+    /// Sets how it behaves: up, down, stale (knows nothing newer), past (answers with the first document), or slow (answers late). \returns
+    /// false for another word.
     bool setMode(const std::string &mode);
 
     unsigned calls() const;
--- a/tests/standins/TargetModel.cpp
+++ b/tests/standins/TargetModel.cpp
@@ -64,6 +64,10 @@
         traits.service = parseDuration(value).value_or(traits.service);
     } else if (trait == "cold_service") {
         traits.coldService = parseDuration(value).value_or(traits.coldService);
+    } else if (trait == "slow_every") {
+        traits.slowEvery = static_cast<unsigned>(std::stoul(value));
+    } else if (trait == "slow_service") {
+        traits.slowService = parseDuration(value).value_or(traits.slowService);
     } else if (trait == "snapshots") {
         traits.snapshots = numbers(value);
     } else if (trait == "shards") {
@@ -283,7 +287,8 @@
         Job &job = jobs_.at(number);
         job.running = true;
         ++running_;
-        const Duration service = cold() ? traits_.coldService : traits_.service;
+        const bool slow = traits_.slowEvery != 0 && ++started_ % traits_.slowEvery == 0;
+        const Duration service = cold() ? traits_.coldService : slow ? traits_.slowService : traits_.service;
         job.timer = scheduler_.callAt(clock_.now() + service, [this, number] { finish(number); });
     }
 }
--- a/tests/standins/TargetModel.h
+++ b/tests/standins/TargetModel.h
@@ -31,6 +31,8 @@
     unsigned warmAfter = 5; ///< Requests completed until it is warm.
     Duration service = std::chrono::milliseconds(2);
     Duration coldService = std::chrono::milliseconds(10);
+    unsigned slowEvery = 0; ///< One request in so many takes slowService; zero for none.
+    Duration slowService = std::chrono::milliseconds(120);
     bool startsCold = false;
     bool sheds = false;
     bool statusLies = false; ///< The status shows the first start, warm and staying.
@@ -114,6 +116,7 @@
     std::function<void()> crash_;
     TargetRecord record_;
     unsigned boot_ = 1;
+    unsigned started_ = 0;
     unsigned completed_ = 0; // Since the start.
     bool cold_ = false;
     bool leaving_ = false;
