A fresh host rides on its zone's other hosts until it knows the targets

Cause: with three seats and targets that bear one request while cold, a fresh host's turn comes every three slices; its queries ended before it (a search through a replaced host: 0 of 1 shards after 295 ms of a 300 ms deadline). Ruled out: asking the status endpoint (it misleads), and a longer turn for fresh hosts (two seats would hold it at once).

Change: while no replica of the own zone is known to be warm but one may be, work goes through the zone's other entry hosts, within their limits; work that was passed on once is not passed on again. One choice in four, before one in eight, goes to a cold replica.

--- a/src/control/TargetController.cpp
+++ b/src/control/TargetController.cpp
@@ -14,7 +14,7 @@
 constexpr unsigned connectionsPerPeer = 64;
 // One choice in so many goes to a cold replica although a warm one is free;
 // without such a share a cold replica loses every comparison and stays cold.
-constexpr unsigned choicesPerWarmUp = 8;
+constexpr unsigned choicesPerWarmUp = 4;
 
 bool contains(std::span<const std::string> names, std::string_view name)
 {
@@ -167,7 +167,10 @@
         auto remote = peerCandidates(wanted, anyUsable);
         if (!remote.empty()) {
             const Candidate &chosen = lessLoaded(remote);
-            return Route{chosen.link, chosen.permit, true, "no admissible replica in this zone"};
+            return Route{chosen.link,
+                         chosen.permit,
+                         true,
+                         chosen.link->address().zone == zone_ ? "replicas not known to be warm" : "no admissible replica in this zone"};
         }
     }
     why = anyUsable ? NoRoute::Busy : NoRoute::NoReplica;
@@ -198,27 +201,56 @@
     return candidates;
 }
 
-std::vector<TargetController::Candidate> TargetController::peerCandidates(const ReplicaWanted &wanted, bool &anyUsable)
+bool TargetController::needsZonePeers(const ReplicaWanted &wanted) const
+{
+    bool doubtful = false;
+    for (const std::string &name : wanted.replicas) {
+        const auto found = targets_.find(name);
+        if (found == targets_.end()) {
+            continue;
+        }
+        const TargetState state = found->second->state();
+        if (state == TargetState::Warm || state == TargetState::Warming) {
+            return false;
+        }
+        doubtful = doubtful || state == TargetState::Unknown || state == TargetState::Cold;
+    }
+    return doubtful;
+}
+
+std::set<std::string_view> TargetController::zonesWithReplicas(const ReplicaWanted &wanted) const
 {
     std::set<std::string_view> zones;
     for (const std::string &name : wanted.replicas) {
         const TargetSpec *target = wanted.document.findTarget(name);
-        if (target != nullptr && target->zone != zone_ && wanted.document.zoneTakesWork(target->zone)) {
+        if (target != nullptr && wanted.document.zoneTakesWork(target->zone)) {
             zones.insert(target->zone);
         }
     }
-    std::vector<Candidate> candidates;
+    // Hosts of this zone share its targets' limits; they only help a host that does not know the targets yet.
+    if (!needsZonePeers(wanted)) {
+        zones.erase(zone_);
+    }
+    return zones;
+}
+
+std::vector<TargetController::Candidate> TargetController::peerCandidates(const ReplicaWanted &wanted, bool &anyUsable)
+{
+    const std::set<std::string_view> zones = zonesWithReplicas(wanted);
+    std::vector<Candidate> near;
+    std::vector<Candidate> far;
     for (const auto &[seat, link] : peers_) {
-        if (zones.count(link->address().zone) == 0 || contains(wanted.avoid, seat)) {
+        const std::string &zone = link->address().zone;
+        if (zones.count(zone) == 0 || contains(wanted.avoid, seat)) {
             continue;
         }
         const auto permit = link->permit(wanted.need, wanted.deadline);
         if (permit) {
-            candidates.push_back({link.get(), *permit});
+            (zone == zone_ ? near : far).push_back({link.get(), *permit});
         }
         anyUsable = anyUsable || link->state() != TargetState::Lost;
     }
-    return candidates;
+    return near.empty() ? far : near;
 }
 
 const TargetController::Candidate &TargetController::lessLoaded(std::vector<Candidate> &candidates)
--- a/src/control/TargetController.h
+++ b/src/control/TargetController.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -86,6 +87,9 @@
     void applyTargets(const EnvironmentDocument &document);
     void applySeats(const EnvironmentDocument &document);
     std::vector<Candidate> localCandidates(const ReplicaWanted &wanted, bool &anyUsable) const;
+    /// \returns whether no replica of this zone is known to be warm, but one may be.
+    bool needsZonePeers(const ReplicaWanted &wanted) const;
+    std::set<std::string_view> zonesWithReplicas(const ReplicaWanted &wanted) const;
     std::vector<Candidate> peerCandidates(const ReplicaWanted &wanted, bool &anyUsable);
     const Candidate &lessLoaded(std::vector<Candidate> &candidates);
 
--- a/tests/scenario/Judge.cpp
+++ b/tests/scenario/Judge.cpp
@@ -37,9 +37,32 @@
     }
     judgeKeys();
     judgeTargets();
+    judgeGenerations();
     return broken_;
 }
 
+// An accepted document is never replaced by an older one, as long as the process runs.
+void Judge::judgeGenerations()
+{
+    const std::string accepted = " config: document accepted generation=";
+    std::map<std::string, std::int64_t> inForce;
+    for (const std::string &line : world_.log()) {
+        const std::string host = line.substr(0, line.find(' '));
+        if (line.find(" config: entry host started") != std::string::npos) {
+            inForce[host] = 0;
+        }
+        const auto place = line.find(accepted);
+        if (place == std::string::npos) {
+            continue;
+        }
+        const std::int64_t generation = std::stoll(line.substr(place + accepted.size()));
+        if (generation <= inForce[host]) {
+            broken_.push_back(fmt::format("{}: generation {} came into force after {}", host, generation, inForce[host]));
+        }
+        inForce[host] = generation;
+    }
+}
+
 void Judge::judgeSearch(const CallerRequest &request, const CallerOutcome &outcome)
 {
     const Json answer = Json::parse(outcome.body);
--- a/tests/scenario/Judge.h
+++ b/tests/scenario/Judge.h
@@ -28,6 +28,7 @@
     bool ranLater(const CallerRequest &refused, const CallerOutcome &outcome) const;
     void judgeKeys();
     void judgeTargets();
+    void judgeGenerations();
 
     World &world_;
     const DocumentBuilder &builder_;
