--- a/src/control/Budget.cpp
+++ b/src/control/Budget.cpp
@@ -11,7 +11,7 @@
 Budget::Budget(double ratio, double burst)
     : ratio_(ratio)
     , burst_(burst)
-    , tokens_(burst)
+    , tokens_(ratio > 0 ? burst : 0)
 {
     assert(ratio >= 0 && ratio <= 1 && "the ratio is a share");
 }
--- a/src/control/Budget.h
+++ b/src/control/Budget.h
@@ -10,7 +10,7 @@
 {
 public:
     /// \param ratio extra requests allowed for each ordinary one, 0 to 1.
-    /// \param burst tokens held at most and at the start.
+    /// \param burst tokens held at most and at the start; none at the start when the ratio is zero.
     Budget(double ratio, double burst);
 
     void setRatio(double ratio);
--- a/tests/unit/ControlTest.cpp
+++ b/tests/unit/ControlTest.cpp
@@ -125,6 +125,9 @@
     }
     REQUIRE(spent >= 500);
     REQUIRE(spent <= 511);
+    Budget none(0, 10);
+    none.earn();
+    REQUIRE_FALSE(none.spend());
 }
 
 TEST_CASE("latency quantiles come from the last window", "[latency]")
