Calls to the platform end with their source; public headers; evidence judged in one place

Cause: under the address sanitizer each session leaked the platform calls that were waiting at its end: a call and its connection held each other, and nothing ended them with their source. Change: the source keeps its calls and cancels them.

Also: what the end of a subrequest says about its request stood twice, in both operations; now in RunEvidence.

--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -3,12 +3,8 @@
  * subrequest against a bare round trip of the same library, and memory and
  * control traffic against hosts, targets, shards and changes.
  */
-#include "app/EntryHost.h"
-#include "net/EventLoop.h"
-#include "net/HttpPlatformSource.h"
-#include "net/HttpServer.h"
-#include "net/HttpTransport.h"
-#include "net/SystemClock.h"
+#include "magnoliaspan/entryhost.h"
+#include "magnoliaspan/net.h"
 #include "peer/PeerCodec.h"
 #include "standins/PlatformModel.h"
 #include "standins/TargetModel.h"
--- /dev/null
+++ b/magnoliaspan/config.h
@@ -0,0 +1,10 @@
+/*
+ * Public header of the module config: settings, environment documents, their
+ * checks and their promotion.
+ */
+#pragma once
+
+#include "config/EnvironmentDocument.h"
+#include "config/Promotion.h"
+#include "config/Schema.h"
+#include "config/Settings.h"
--- a/src/app/ServeCommand.cpp
+++ b/src/app/ServeCommand.cpp
@@ -3,13 +3,8 @@
  */
 #include "app/ServeCommand.h"
 
-#include "app/AdminService.h"
-#include "app/EntryHost.h"
-#include "net/EventLoop.h"
-#include "net/HttpPlatformSource.h"
-#include "net/HttpServer.h"
-#include "net/HttpTransport.h"
-#include "net/SystemClock.h"
+#include "magnoliaspan/entryhost.h"
+#include "magnoliaspan/net.h"
 
 #include <cstdio>
 #include <random>
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -3,10 +3,7 @@
  */
 #include "app/AdminClient.h"
 #include "app/ServeCommand.h"
-#include "config/EnvironmentDocument.h"
-#include "config/Promotion.h"
-#include "config/Schema.h"
-#include "config/Settings.h"
+#include "magnoliaspan/config.h"
 
 #include <cstdio>
 #include <fstream>
--- a/src/net/HttpPlatformSource.cpp
+++ b/src/net/HttpPlatformSource.cpp
@@ -35,23 +35,32 @@
 
 } // namespace
 
-/// One call; it owns itself through the handlers that wait for it.
+/// One call, on a connection of its own.
 class HttpPlatformSource::Call : public std::enable_shared_from_this<Call>
 {
 public:
-    Call(Scheduler &scheduler, std::function<void(const WireReply &)> handler)
+    explicit Call(Scheduler &scheduler)
         : scheduler_(scheduler)
-        , handler_(std::move(handler))
     {
     }
 
-    void start(Transport &transport, const Endpoint &endpoint, std::string path, TimePoint limit)
+    void
+    start(Transport &transport, const Endpoint &endpoint, std::string path, TimePoint limit, std::function<void(const WireReply &)> handler)
     {
+        handler_ = std::move(handler);
         timer_ = scheduler_.callAt(limit, [self = shared_from_this()] { self->end({TransportError::Silent, true, 0, ""}); });
         connection_ = transport.connect(
             endpoint, [self = shared_from_this(), path = std::move(path)](std::error_code error) { self->connected(error, path); }, [] {});
     }
 
+    /// The handler is not called any more.
+    void cancel()
+    {
+        handler_ = nullptr;
+        scheduler_.cancel(timer_);
+        connection_->close();
+    }
+
 private:
     void connected(std::error_code error, const std::string &path)
     {
@@ -91,21 +100,28 @@
     , transport_(transport)
     , endpoint_(std::move(endpoint))
     , environment_(std::move(environment))
-    , alive_(std::make_shared<int>(0))
 {
 }
 
-HttpPlatformSource::~HttpPlatformSource() = default;
+HttpPlatformSource::~HttpPlatformSource()
+{
+    for (const auto &call : calls_) {
+        call->cancel();
+    }
+}
 
 void HttpPlatformSource::get(std::string path, std::function<void(const WireReply &)> handler)
 {
-    auto guarded = [alive = std::weak_ptr<int>(alive_), handler = std::move(handler)](const WireReply &reply) {
-        if (!alive.expired()) {
-            handler(reply);
-        }
-    };
-    const auto call = std::make_shared<Call>(scheduler_, std::move(guarded));
-    call->start(transport_, endpoint_, std::move(path), clock_.now() + watchTime + answerTime);
+    const auto call = std::make_shared<Call>(scheduler_);
+    calls_.insert(call);
+    call->start(transport_,
+                endpoint_,
+                std::move(path),
+                clock_.now() + watchTime + answerTime,
+                [this, weak = std::weak_ptr<Call>(call), handler = std::move(handler)](const WireReply &reply) {
+                    calls_.erase(weak.lock());
+                    handler(reply);
+                });
 }
 
 void HttpPlatformSource::watchDocument(std::int64_t after, std::function<void(DocumentReading)> handler)
--- a/src/net/HttpPlatformSource.h
+++ b/src/net/HttpPlatformSource.h
@@ -9,6 +9,7 @@
 #include "transport/Transport.h"
 
 #include <memory>
+#include <set>
 #include <string>
 
 namespace magnoliaspan {
@@ -32,7 +33,7 @@
     Transport &transport_;
     Endpoint endpoint_;
     std::string environment_;
-    std::shared_ptr<int> alive_; // Calls hold it weakly, so that none outlives the source.
+    std::set<std::shared_ptr<Call>> calls_; // Those that wait for their answer.
 };
 
 } // namespace magnoliaspan
--- a/src/request/SearchOperation.cpp
+++ b/src/request/SearchOperation.cpp
@@ -3,6 +3,7 @@
  */
 #include "request/SearchOperation.h"
 
+#include "request/RunEvidence.h"
 #include "transport/TransportError.h"
 
 #include <algorithm>
@@ -301,7 +302,7 @@
     const Attempt attempt = std::move(*found);
     shard.attempts.erase(found);
     const auto self = shared_from_this();
-    judgeLoss(attempt, reply);
+    reportEvidence(services_.quarantine, {fingerprint_, attempt.linkName, attempt.viaPeer, attempt.singleRun}, reply);
     verdict_ = combine(verdict_, reply.verdict());
     const bool answered = reply.reply && reply.reply->outcome == ShardOutcome::Answered;
     if (answered && reply.reply->snapshot == snapshot_) {
@@ -322,21 +323,6 @@
     }
 }
 
-void SearchOperation::judgeLoss(const Attempt &attempt, const LinkReply &reply)
-{
-    const bool lost = reply.error == make_error_code(TransportError::ConnectionLost) && reply.bytesSent;
-    if (lost && !attempt.viaPeer) {
-        services_.quarantine.targetLost(fingerprint_, attempt.linkName, reply.bootId, attempt.singleRun);
-        return;
-    }
-    if (reply.reply && reply.reply->outcome == ShardOutcome::Answered) {
-        services_.quarantine.completed(fingerprint_, attempt.singleRun);
-    }
-    if (attempt.singleRun) {
-        services_.quarantine.releaseSingleRun(fingerprint_);
-    }
-}
-
 void SearchOperation::accept(ShardProgress &shard, const Attempt &attempt, ShardReply &&reply)
 {
     state_->latency.add(services_.clock.now() - attempt.sentAt);
--- a/src/request/SearchOperation.h
+++ b/src/request/SearchOperation.h
@@ -75,7 +75,6 @@
     void replied(std::size_t shardIndex, std::uint64_t attemptNumber, LinkReply reply);
     void accept(ShardProgress &shard, const Attempt &attempt, ShardReply &&reply);
     void failed(ShardProgress &shard, const Attempt &attempt, const LinkReply &reply);
-    void judgeLoss(const Attempt &attempt, const LinkReply &reply);
     bool restartIfUnavailable(ShardProgress &shard);
     void secondAttemptsDue();
     std::vector<std::string> avoided(const ShardProgress &shard) const;
--- a/src/request/SingleShardOperation.cpp
+++ b/src/request/SingleShardOperation.cpp
@@ -3,6 +3,7 @@
  */
 #include "request/SingleShardOperation.h"
 
+#include "request/RunEvidence.h"
 #include "transport/TransportError.h"
 
 #include <algorithm>
@@ -180,7 +181,7 @@
     const Attempt attempt = *found;
     running_.erase(found);
     const auto self = shared_from_this();
-    judgeLoss(attempt, reply);
+    reportEvidence(services_.quarantine, {fingerprint_, attempt.linkName, attempt.viaPeer, attempt.singleRun}, reply);
     verdict_ = combine(verdict_, reply.verdict());
     if (reply.reply && reply.reply->outcome == ShardOutcome::Answered) {
         end({verdict_, std::move(reply.reply), ""});
@@ -209,21 +210,6 @@
     }
 }
 
-void SingleShardOperation::judgeLoss(const Attempt &attempt, const LinkReply &reply)
-{
-    const bool lost = reply.error == make_error_code(TransportError::ConnectionLost) && reply.bytesSent;
-    if (lost && !attempt.viaPeer) {
-        services_.quarantine.targetLost(fingerprint_, attempt.linkName, reply.bootId, attempt.singleRun);
-        return;
-    }
-    if (reply.reply && reply.reply->outcome == ShardOutcome::Answered) {
-        services_.quarantine.completed(fingerprint_, attempt.singleRun);
-    }
-    if (attempt.singleRun) {
-        services_.quarantine.releaseSingleRun(fingerprint_);
-    }
-}
-
 void SingleShardOperation::cancelAttempts()
 {
     for (const Attempt &attempt : running_) {
--- a/src/request/SingleShardOperation.h
+++ b/src/request/SingleShardOperation.h
@@ -67,7 +67,6 @@
     void tryNewConnection();
     void dispatch(const Route &route, bool singleRun);
     void replied(unsigned number, LinkReply reply);
-    void judgeLoss(const Attempt &attempt, const LinkReply &reply);
     void cancelAttempts();
     bool mayTryAgain(const LinkReply &reply) const;
     void rememberTried(const std::string &linkName, const LinkReply &reply);
--- a/tests/unit/SocketFixture.h
+++ b/tests/unit/SocketFixture.h
@@ -4,13 +4,8 @@
  */
 #pragma once
 
-#include "app/AdminService.h"
-#include "app/EntryHost.h"
-#include "net/EventLoop.h"
-#include "net/HttpPlatformSource.h"
-#include "net/HttpServer.h"
-#include "net/HttpTransport.h"
-#include "net/SystemClock.h"
+#include "magnoliaspan/entryhost.h"
+#include "magnoliaspan/net.h"
 #include "standins/PlatformModel.h"
 #include "standins/Relay.h"
 #include "standins/TargetModel.h"
