Replicas of similar load share the work

Cause: process.leaving_target was red once (state "warming" after 5 s, expected "warm"). Between two idle replicas the faster one, by however little, won every choice: of 200 queries the replica slower by a tenth got 1 (slightly_slower, before), and a warming one could not reach its share. Ruled out: the return from leaving and the cold start (three more runs reach "warming" 0.3 s after the listing). Change: the load must be 1.5 times the other's to lose.

After: slightly_slower passes: at least 50 of 200, warm within 8 s of a cold restart.

--- a/src/control/TargetController.cpp
+++ b/src/control/TargetController.cpp
@@ -15,6 +15,7 @@
 // One choice in so many goes to a cold replica although a warm one is free;
 // without such a share a cold replica loses every comparison and stays cold.
 constexpr unsigned choicesPerWarmUp = 4;
+constexpr double similarLoads = 1.5;
 
 bool contains(std::span<const std::string> names, std::string_view name)
 {
@@ -270,7 +271,8 @@
     const std::size_t first = random_() % candidates.size();
     const std::size_t step = 1 + random_() % (candidates.size() - 1);
     const std::size_t second = (first + step) % candidates.size();
-    return load(*candidates[first].link) <= load(*candidates[second].link) ? candidates[first] : candidates[second];
+    // Between similar loads the first, random, choice stands: the faster by a hair would otherwise get all the work.
+    return load(*candidates[first].link) <= similarLoads * load(*candidates[second].link) ? candidates[first] : candidates[second];
 }
 
 std::int64_t TargetController::bestSnapshot(const SystemSpec &system, std::int64_t excluded) const
