--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -101,6 +101,11 @@
         targets_.apply(document);
         submits_.apply(document);
         peers_.apply(document);
+        for (const ZoneSpec &zone : document.zones) {
+            if (!zone.takesWork) {
+                journal_.note(Part::Zone, "", fmt::format("zone takes no work zone={} own={}", zone.name, zone.name == settings_.zone));
+            }
+        }
         serving_.configurationAccepted();
         capacityFreed();
     });
--- a/src/control/TargetLink.cpp
+++ b/src/control/TargetLink.cpp
@@ -366,19 +366,7 @@
     if (exchange.probe) {
         probeAnswered(wire);
     } else if (!wire.error) {
-        result.reply = decodeShardReply(wire.body);
-        const bool matches
-            = result.reply && result.reply->requestId == exchange.request.requestId && result.reply->shard == exchange.request.shard;
-        if (matches) {
-            judge(exchange, *result.reply);
-        } else {
-            // What follows on this connection may answer yet another request.
-            result.reply.reset();
-            result.error = TransportError::MalformedReply;
-            environment_.counters.add("magnoliaspan_malformed_replies_total");
-            pauseSending();
-            connections_.erase(id);
-        }
+        read(id, exchange, wire.body, result);
     }
     if (exchange.request.handler) {
         exchange.request.handler(std::move(result));
@@ -386,6 +374,23 @@
     environment_.capacityFreed();
 }
 
+void TargetLink::read(ConnectionId id, const RunningExchange &exchange, std::string_view body, LinkReply &result)
+{
+    result.reply = decodeShardReply(body);
+    const bool matches
+        = result.reply && result.reply->requestId == exchange.request.requestId && result.reply->shard == exchange.request.shard;
+    if (matches) {
+        judge(exchange, *result.reply);
+        return;
+    }
+    // What follows on this connection may answer yet another request.
+    connections_.erase(id);
+    result.reply.reset();
+    result.error = TransportError::MalformedReply;
+    environment_.counters.add("magnoliaspan_malformed_replies_total");
+    pauseSending();
+}
+
 void TargetLink::judge(const RunningExchange &exchange, const ShardReply &reply)
 {
     learn(exchange, reply.notice);
--- a/src/control/TargetLink.h
+++ b/src/control/TargetLink.h
@@ -148,6 +148,7 @@
     void connectFailed(ConnectionId id);
     void start(ConnectionId id, LinkConnection &connection);
     void answered(ConnectionId id, WireReply wire);
+    void read(ConnectionId id, const RunningExchange &exchange, std::string_view body, LinkReply &result);
     void idleClosed(ConnectionId id);
     void timedOut(ConnectionId id);
     void drop(ConnectionId id);
--- a/src/request/SearchOperation.cpp
+++ b/src/request/SearchOperation.cpp
@@ -214,20 +214,10 @@
     return true;
 }
 
-void SearchOperation::dispatch(ShardProgress &shard, const Route &route, bool hedge, bool singleRun)
+LinkRequest SearchOperation::requestFor(const ShardProgress &shard, const Route &route, std::uint64_t attempt)
 {
-    const TimePoint now = services_.clock.now();
-    const auto shardIndex = static_cast<std::size_t>(&shard - shards_.data());
-    Attempt attempt;
-    attempt.number = ++attempts_;
-    attempt.link = route.link;
-    attempt.linkName = route.link->address().name;
-    attempt.sentAt = now;
-    attempt.singleRun = singleRun;
-    attempt.viaPeer = route.viaPeer;
-
     ShardSearch message;
-    message.requestId = fmt::format("{}.{}.{}", services_.seat, operation_, attempt.number);
+    message.requestId = fmt::format("{}.{}.{}", services_.seat, operation_, attempt);
     message.system = query_.system;
     message.query = query_.text;
     message.shard = shard.spec->shard;
@@ -247,12 +237,25 @@
     request.deadline = route.permit.deadline;
     // An attempt may take all the time there is: an unanswered connection is only given up for an answered one.
     request.silentAfter = route.permit.deadline + lastWord;
-    request.handler = [weak = weak_from_this(), shardIndex, number = attempt.number](LinkReply reply) {
+    const auto shardIndex = static_cast<std::size_t>(&shard - shards_.data());
+    request.handler = [weak = weak_from_this(), shardIndex, attempt](LinkReply reply) {
         if (const auto self = weak.lock()) {
-            self->replied(shardIndex, number, std::move(reply));
+            self->replied(shardIndex, attempt, std::move(reply));
         }
     };
+    return request;
+}
 
+void SearchOperation::dispatch(ShardProgress &shard, const Route &route, bool hedge, bool singleRun)
+{
+    const TimePoint now = services_.clock.now();
+    Attempt attempt;
+    attempt.number = ++attempts_;
+    attempt.link = route.link;
+    attempt.linkName = route.link->address().name;
+    attempt.sentAt = now;
+    attempt.singleRun = singleRun;
+    attempt.viaPeer = route.viaPeer;
     if (!hedge) {
         state_->hedges.earn();
         state_->retries.earn();
@@ -261,7 +264,7 @@
     services_.journal.note(Part::Route,
                            query_.requestId,
                            fmt::format("subrequest sent shard={} {}={} attempt={} hedge={} single={} reason=\"{}\"",
-                                       message.shard,
+                                       shard.spec->shard,
                                        route.viaPeer ? "seat" : "target",
                                        attempt.linkName,
                                        attempt.number,
@@ -272,13 +275,8 @@
     shard.everSent = true;
     shard.hedgeAt = now + hedgeDelay();
     shard.secondAt = now + std::max(scaled(deadline_ - now, silentShare), silentLatencies * state_->latency.p95());
-    shard.attempts.push_back(attempt);
-    const ExchangeId exchange = route.link->send(route.permit, std::move(request));
-    for (Attempt &sent : shard.attempts) {
-        if (sent.number == attempt.number) {
-            sent.exchange = exchange;
-        }
-    }
+    attempt.exchange = route.link->send(route.permit, requestFor(shard, route, attempt.number));
+    shard.attempts.push_back(std::move(attempt));
 }
 
 Duration SearchOperation::hedgeDelay() const
--- a/src/request/SearchOperation.h
+++ b/src/request/SearchOperation.h
@@ -71,6 +71,7 @@
     void sendDue(TimePoint now);
     void sendShard(ShardProgress &shard);
     bool mayRetry(ShardProgress &shard);
+    LinkRequest requestFor(const ShardProgress &shard, const Route &route, std::uint64_t attempt);
     void dispatch(ShardProgress &shard, const Route &route, bool hedge, bool singleRun);
     void replied(std::size_t shardIndex, std::uint64_t attemptNumber, LinkReply reply);
     void accept(ShardProgress &shard, const Attempt &attempt, ShardReply &&reply);
--- a/tests/scenario/FakeWorld.cpp
+++ b/tests/scenario/FakeWorld.cpp
@@ -73,8 +73,14 @@
 
 void FakeWorld::placeTarget(Target &target)
 {
-    network_.place(target.declaration.address,
-                   {target.declaration.name, target.model.get(), target.time.get(), 0, 1'000'000, {}, target.declaration.zone});
+    Node node;
+    node.name = target.declaration.name;
+    node.service = target.model.get();
+    node.time = target.time.get();
+    node.maxConnections = target.declaration.traits.connections;
+    node.connectCost = target.declaration.traits.connectCost;
+    node.zone = target.declaration.zone;
+    network_.place(target.declaration.address, std::move(node));
     target.up = true;
 }
 
--- a/tests/standins/StandInProcess.cpp
+++ b/tests/standins/StandInProcess.cpp
@@ -90,7 +90,9 @@
         const auto blank = body.find(' ');
         return blank != std::string::npos && model.set(body.substr(0, blank), body.substr(blank + 1));
     });
-    HttpServer server(loop, model, wideLimits());
+    HttpServerLimits limits = wideLimits();
+    limits.maxConnections = traits.connections;
+    HttpServer server(loop, model, limits);
     HttpServer controlServer(loop, control, wideLimits());
     if (listenOrReport(server, settings.address) != 0 || listenOrReport(controlServer, settings.control) != 0) {
         return 1;
--- a/tests/standins/TargetModel.cpp
+++ b/tests/standins/TargetModel.cpp
@@ -75,6 +75,10 @@
         traits.shards = {list.begin(), list.end()};
     } else if (trait == "slots") {
         traits.slots = static_cast<unsigned>(std::stoul(value));
+    } else if (trait == "connections") {
+        traits.connections = static_cast<unsigned>(std::stoul(value));
+    } else if (trait == "connect_cost") {
+        traits.connectCost = parseDuration(value).value_or(traits.connectCost);
     } else if (trait == "queue") {
         traits.queue = static_cast<unsigned>(std::stoul(value));
     } else if (trait == "cold_bears") {
--- a/tests/standins/TargetModel.h
+++ b/tests/standins/TargetModel.h
@@ -26,7 +26,9 @@
     std::set<std::int64_t> shards;
     std::vector<std::int64_t> snapshots = {1};
     unsigned slots = 3;
-    unsigned queue = 30; ///< Requests that wait for a slot; more are shed.
+    unsigned connections = 1'000; ///< Connections at once; more are refused.
+    Duration connectCost{};       ///< Time of a new connection; of fakes only.
+    unsigned queue = 30;          ///< Requests that wait for a slot; more are shed.
     unsigned coldBears = 1;
     unsigned warmAfter = 5; ///< Requests completed until it is warm.
     Duration service = std::chrono::milliseconds(2);
