Remove an accessor that nothing calls

Cause: FilterChain::filters() was written for a test that was never needed; the chain is its own source file's. Behaviour is as before: 86 tests on the manual clock pass, format and linter are clean for the file. Real-process tests were not run again.

--- a/src/request/FilterChain.cpp
+++ b/src/request/FilterChain.cpp
@@ -125,9 +125,4 @@
     return std::nullopt;
 }
 
-std::span<const Filter> FilterChain::filters()
-{
-    return chain;
-}
-
 } // namespace magnoliaspan
--- a/src/request/FilterChain.h
+++ b/src/request/FilterChain.h
@@ -9,7 +9,6 @@
 #include "request/RequestServices.h"
 
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -59,9 +58,6 @@
     /// \returns the first refusal, or nothing when the request may go on.
     std::optional<Refusal> check(const Admission &admission) const;
 
-    /// \returns the filters in the order of check().
-    static std::span<const Filter> filters();
-
 private:
     RequestServices &services_;
     ServingController &serving_;
