--- /dev/null
+++ b/src/app/ForwardCommand.cpp
@@ -0,0 +1,196 @@
+/*
+ * Part app: sockets, signals, settings and the log around a forwarding host.
+ */
+#include "app/ForwardCommand.h"
+
+#include "app/ForwardHost.h"
+#include "app/TextFile.h"
+#include "magnoliaspan/net.h"
+#include "net/LogWriter.h"
+#include "platform/Adapter.h"
+
+#include <cstdio>
+#include <fmt/format.h>
+#include <random>
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+namespace magnoliaspan {
+
+namespace {
+
+constexpr Duration exitPause = std::chrono::milliseconds(50);
+// Settings may change without a signal.
+constexpr Duration settingsInterval = std::chrono::seconds(1);
+// Bodies are read at the pace of slow links.
+constexpr Duration bodyTime = std::chrono::seconds(10);
+
+/// Answers one path with a text that is made for each request.
+class TextService : public Service
+{
+public:
+    explicit TextService(std::function<ServiceReply()> answer)
+        : answer_(std::move(answer))
+    {
+    }
+
+    Abandon handle(ServiceRequest, ReplyHandler handler) override
+    {
+        handler(answer_());
+        return {};
+    }
+
+private:
+    std::function<ServiceReply()> answer_;
+};
+
+ServiceReply readiness(const ForwardHost &host)
+{
+    const std::string reason = host.notReadyReason();
+    ServiceReply reply;
+    reply.status = reason.empty() ? 200 : 503;
+    reply.contentType = "text/plain";
+    reply.body = reason.empty() ? "ready\n" : reason + "\n";
+    return reply;
+}
+
+/// A forwarding host with its sockets.
+class ForwardProcess
+{
+public:
+    ForwardProcess(const ForwardSettings &settings, std::string settingsFile)
+        : settingsFile_(std::move(settingsFile))
+        , settingsText_(readTextFile(settingsFile_).value_or(""))
+        , writer_(std::make_shared<LogWriter>(clock_, loop_, STDOUT_FILENO, settings.logLinesPerSecond))
+        , logger_("magnoliaspan", writer_)
+        , codec_(platform::makeCodec())
+        , discovery_(platform::makeDiscovery(clock_, loop_, transport_, settings.discoveryAddress))
+        , host_({clock_, loop_, transport_, *discovery_, *codec_, [this](std::string_view line) { logger_.info(line); }, seed()}, settings)
+        , ready_([this] { return readiness(host_); })
+        , metrics_([this] { return ServiceReply{200, "text/plain; version=0.0.4", metricsText()}; })
+        , callerServer_(loop_, host_.callers(), {})
+        , readyServer_(loop_, ready_, {})
+        , metricsServer_(loop_, metrics_, {})
+    {
+        logger_.set_pattern("%Y-%m-%dT%H:%M:%S.%e %l " + settings.host + " %v");
+        logger_.set_level(spdlog::level::from_str(settings.logLevel));
+    }
+
+    int run(const ForwardSettings &settings)
+    {
+        if (!listen(callerServer_, settings.callerAddress) || !listen(readyServer_, settings.readyAddress)
+            || !listen(metricsServer_, settings.metricsAddress)) {
+            return 1;
+        }
+        host_.onListenerLimits([this](const ListenerLimits &limits) { applyLimits(limits); });
+        host_.serving().onStage([this](ServingStage stage) { stageChanged(stage); });
+        loop_.onStopSignal([this] { host_.stop(); });
+        loop_.onReloadSignal([this] { readSettings(); });
+        watchSettings();
+        host_.start();
+        loop_.run();
+        host_.journal().note(Part::Shutdown, "", "host stopped");
+        logger_.flush();
+        return 0;
+    }
+
+private:
+    static std::uint64_t seed()
+    {
+        std::random_device device;
+        return (static_cast<std::uint64_t>(device()) << 32U) | device();
+    }
+
+    bool listen(HttpServer &server, const Endpoint &endpoint)
+    {
+        const std::error_code error = server.listen(endpoint);
+        if (error) {
+            logger_.error("shutdown: cannot listen address={} error=\"{}\"", endpoint.toString(), error.message());
+            logger_.flush();
+        }
+        return !error;
+    }
+
+    std::string metricsText() const
+    {
+        return host_.metrics()
+               + fmt::format("magnoliaspan_caller_connections {}\nmagnoliaspan_log_lines_dropped_total {}\n",
+                             callerServer_.connections(),
+                             writer_->dropped());
+    }
+
+    void applyLimits(const ListenerLimits &limits)
+    {
+        HttpServerLimits bounds;
+        bounds.maxHeaderBytes = limits.maxHeaderBytes;
+        bounds.maxBodyBytes = limits.maxBodyBytes;
+        bounds.requestTime = limits.headerTimeout + bodyTime;
+        bounds.idleTime = limits.idleTimeout;
+        callerServer_.setLimits(bounds);
+    }
+
+    void stageChanged(ServingStage stage)
+    {
+        if (stage == ServingStage::Announcing) {
+            callerServer_.announceClose();
+        } else if (stage == ServingStage::Draining) {
+            callerServer_.stopAccepting();
+            callerServer_.closeIdle();
+        } else if (stage == ServingStage::Stopped) {
+            callerServer_.stopAccepting();
+            // The last replies are on their way.
+            loop_.callAt(clock_.now() + exitPause, [this] { loop_.stop(); });
+        }
+    }
+
+    void watchSettings()
+    {
+        loop_.callAt(clock_.now() + settingsInterval, [this] {
+            readSettings();
+            watchSettings();
+        });
+    }
+
+    void readSettings()
+    {
+        const auto text = readTextFile(settingsFile_);
+        if (!text || *text == settingsText_) {
+            return;
+        }
+        settingsText_ = *text;
+        Diagnostics diagnostics;
+        const auto settings = ForwardSettings::parse(*text, settingsFile_, diagnostics);
+        for (const Diagnostic &diagnostic : diagnostics) {
+            logger_.error("shutdown: settings refused, the old ones stay {}", diagnostic.toString());
+        }
+        if (settings) {
+            host_.reload(*settings);
+        }
+    }
+
+    SystemClock clock_;
+    EventLoop loop_{clock_};
+    HttpTransport transport_{loop_};
+    std::string settingsFile_;
+    std::string settingsText_; // As last read.
+    std::shared_ptr<LogWriter> writer_;
+    spdlog::logger logger_;
+    std::unique_ptr<ForwardCodec> codec_;
+    std::unique_ptr<DiscoverySource> discovery_;
+    ForwardHost host_;
+    TextService ready_;
+    TextService metrics_;
+    HttpServer callerServer_;
+    HttpServer readyServer_;
+    HttpServer metricsServer_;
+};
+
+} // namespace
+
+int forward(const ForwardSettings &settings, const std::string &settingsFile)
+{
+    ForwardProcess process(settings, settingsFile);
+    return process.run(settings);
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/app/ForwardHost.h
@@ -0,0 +1,85 @@
+/*
+ * Part app: an entry host that forwards along published routes; its controllers and how they are connected.
+ * It does no I/O of its own, so that it runs alike on Asio and on a manual clock.
+ */
+#pragma once
+
+#include "app/ActiveRequests.h"
+#include "config/ForwardSettings.h"
+#include "control/PauseDetector.h"
+#include "control/ServingController.h"
+#include "discovery/DiscoveryController.h"
+#include "forward/ForwardService.h"
+
+#include <functional>
+#include <memory>
+
+namespace magnoliaspan {
+
+/// \brief What a forwarding host needs from outside; outlives it.
+struct ForwardHostEnvironment {
+    const Clock &clock;
+    Scheduler &scheduler;
+    Transport &transport;
+    DiscoverySource &discovery;
+    const ForwardCodec &codec;
+    Journal::Sink logSink;
+    std::uint64_t seed = 0; ///< Of all random choices.
+};
+
+/// \brief A forwarding host without its sockets.
+class ForwardHost
+{
+public:
+    ForwardHost(const ForwardHostEnvironment &environment, ForwardSettings settings);
+    ~ForwardHost();
+    ForwardHost(const ForwardHost &) = delete;
+    ForwardHost &operator=(const ForwardHost &) = delete;
+
+    /// \brief Begins to read what is published.
+    void start();
+
+    /// \brief Begins the graceful end; \sa ServingController::stop.
+    void stop();
+
+    /// \brief Takes over settings that may change while the process runs: the limits.
+    void reload(const ForwardSettings &settings);
+
+    /// \brief Calls \p listener with each new bound on what callers may send.
+    void onListenerLimits(std::function<void(const ListenerLimits &)> listener);
+
+    /// \returns why the balancer should send no callers here; empty when it should.
+    std::string notReadyReason() const;
+
+    ForwardService &callers();
+    ServingController &serving();
+    Journal &journal();
+    const Counters &counters() const;
+
+    /// \returns counters and the present sizes of what this host keeps, in the text exposition format.
+    std::string metrics() const;
+
+private:
+    void connectRegistry();
+    void tick();
+    void scheduleTick();
+
+    ForwardSettings settings_;
+    const Clock &clock_;
+    Scheduler &scheduler_;
+    Journal journal_;
+    Counters counters_;
+    PauseDetector pause_;
+    ServingController serving_;
+    ActiveRequests active_;
+    Registry registry_;
+    ForwardEnvironment environment_;
+    ReplicaController replicas_;
+    DiscoveryController discovery_;
+    ForwardService callers_;
+    std::function<void(const ListenerLimits &)> limitsListener_;
+    TimerId tickTimer_ = TimerId::None;
+    TimePoint nextReplicaTick_{};
+};
+
+} // namespace magnoliaspan
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -2,17 +2,17 @@
  * Part app: the command line.
  */
 #include "app/AdminClient.h"
+#include "app/ForwardCommand.h"
 #include "app/ServeCommand.h"
+#include "app/TextFile.h"
 #include "magnoliaspan/config.h"
 
 #include <cstdio>
-#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
-#include <iterator>
 #include <span>
 
-DEFINE_string(settings, "", "settings file of the process (serve)");
+DEFINE_string(settings, "", "settings file of the process (serve, forward)");
 DEFINE_string(admin, "127.0.0.1:7300", "admin address of a running entry host (status, explain)");
 DEFINE_string(environment, "production", "environment to promote to (promote)");
 DEFINE_int64(generation, 0, "generation of the promoted document; 0 keeps the trial's (promote)");
@@ -30,6 +30,7 @@
 constexpr const char *usageText = R"(usage: magnoliaspan COMMAND [FLAGS] [ARGUMENTS]
 
   serve --settings FILE           run an entry host until SIGTERM
+  forward --settings FILE         run an entry host that forwards along published routes
   check FILE                      check a settings file or an environment document
   promote [--environment NAME] [--generation N] FILE
                                   write the trial document FILE as that of NAME to standard output
@@ -41,15 +42,6 @@
 Exit status: 0 good, 1 the command failed, 2 it was called wrongly.
 )";
 
-std::optional<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
-        return std::nullopt;
-    }
-    return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
 int report(const Diagnostics &diagnostics)
 {
     for (const Diagnostic &diagnostic : diagnostics) {
@@ -74,7 +66,7 @@
     if (FLAGS_settings.empty()) {
         return wrongUse("serve needs --settings FILE");
     }
-    const auto text = readFile(FLAGS_settings);
+    const auto text = readTextFile(FLAGS_settings);
     if (!text) {
         return fileMissing(FLAGS_settings);
     }
@@ -86,6 +78,25 @@
     return serve(*settings);
 }
 
+int runForward()
+{
+    if (FLAGS_settings.empty()) {
+        return wrongUse("forward needs --settings FILE");
+    }
+    const auto text = readTextFile(FLAGS_settings);
+    if (!text) {
+        return fileMissing(FLAGS_settings);
+    }
+    Diagnostics diagnostics;
+    const auto settings = ForwardSettings::parse(*text, FLAGS_settings, diagnostics);
+    return settings ? forward(*settings, FLAGS_settings) : report(diagnostics);
+}
+
+bool isForwardSettings(std::string_view text)
+{
+    return text.starts_with("discovery_address:") || text.find("\ndiscovery_address:") != std::string_view::npos;
+}
+
 bool isSettings(std::string_view text)
 {
     // Only a settings file names the seat of a process at its top level.
@@ -94,12 +105,14 @@
 
 int runCheck(const std::string &path)
 {
-    const auto text = readFile(path);
+    const auto text = readTextFile(path);
     if (!text) {
         return fileMissing(path);
     }
     Diagnostics diagnostics;
-    if (isSettings(*text)) {
+    if (isForwardSettings(*text)) {
+        ForwardSettings::parse(*text, path, diagnostics);
+    } else if (isSettings(*text)) {
         Settings::parse(*text, path, diagnostics);
     } else if (const EnvironmentPtr document = EnvironmentDocument::parse(*text, path, diagnostics)) {
         std::cout << path << ": generation " << document->generation << " of environment '" << document->environment << "', digest "
@@ -110,7 +123,7 @@
 
 int runPromote(const std::string &path)
 {
-    const auto text = readFile(path);
+    const auto text = readTextFile(path);
     if (!text) {
         return fileMissing(path);
     }
@@ -163,6 +176,9 @@
     if (command == "serve") {
         return runServe();
     }
+    if (command == "forward") {
+        return runForward();
+    }
     if (command == "check") {
         return runCheck(arguments.front());
     }
--- /dev/null
+++ b/src/config/ForwardSettings.cpp
@@ -0,0 +1,57 @@
+/*
+ * Part config: loading of a forwarding process's settings file.
+ */
+#include "config/ForwardSettings.h"
+
+#include "config/DocumentReader.h"
+
+#include <fmt/format.h>
+
+namespace magnoliaspan {
+
+namespace {
+
+ForwardLimits limitsOf(const DocumentNode &root)
+{
+    ForwardLimits limits;
+    limits.hosts = static_cast<unsigned>(root.integer("hosts"));
+    limits.extraSendRatio = root.fraction("extra_send_ratio");
+    limits.extraSendSlack = root.fraction("extra_send_slack");
+    limits.coldFactor = root.fraction("cold_factor");
+    limits.coldSlack = root.fraction("cold_slack");
+    limits.maxInFlight = static_cast<std::size_t>(root.integer("max_in_flight"));
+    return limits;
+}
+
+} // namespace
+
+std::optional<ForwardSettings> ForwardSettings::parse(std::string_view text, const std::string &file, Diagnostics &diagnostics)
+{
+    const DocumentNode root = DocumentReader(DocumentKind::ForwardSettings).read(text, file, diagnostics);
+    if (!diagnostics.empty()) {
+        return std::nullopt;
+    }
+    ForwardSettings settings;
+    settings.host = root.text("host");
+    settings.zone = root.text("zone");
+    for (const DocumentNode &zone : root.list("zones")) {
+        settings.regionOfZone[zone.text("name")] = zone.text("region");
+    }
+    settings.callerAddress = root.endpoint("caller_address");
+    settings.readyAddress = root.endpoint("ready_address");
+    settings.metricsAddress = root.endpoint("metrics_address");
+    settings.discoveryAddress = root.endpoint("discovery_address");
+    settings.logLevel = root.text("log_level");
+    settings.logLinesPerSecond = static_cast<std::size_t>(root.integer("log_lines_per_second"));
+    settings.shutdownAnnounce = root.duration("shutdown_announce");
+    settings.shutdownLimit = root.duration("shutdown_limit");
+    settings.journalLines = static_cast<std::size_t>(root.integer("journal_lines"));
+    settings.limits = limitsOf(root);
+    if (!settings.regionOfZone.contains(settings.zone)) {
+        diagnostics.push_back({file, root.line("zone"), "zone", fmt::format("'{}' is not among the zones", settings.zone)});
+        return std::nullopt;
+    }
+    return settings;
+}
+
+} // namespace magnoliaspan
--- a/src/config/Schema.cpp
+++ b/src/config/Schema.cpp
@@ -96,6 +96,29 @@
     FieldSpec{"targets[].address", Address, true, "", 0, 0, "", "Where the target listens."},
 };
 
+constexpr std::array forwardSchema = {
+    FieldSpec{"host", Name, true, "", 0, 0, "", "Name of this entry host, for the log."},
+    FieldSpec{"zone", Name, true, "", 0, 0, "", "Availability zone of this process."},
+    FieldSpec{"zones", List, true, "", 1, 64, "", "Availability zones of the deployment."},
+    FieldSpec{"zones[].name", Name, true, "", 0, 0, "", "Name of the zone."},
+    FieldSpec{"zones[].region", Name, true, "", 0, 0, "", "Region of the zone."},
+    FieldSpec{"caller_address", Address, true, "", 0, 0, "", "Where callers connect."},
+    FieldSpec{"ready_address", Address, true, "", 0, 0, "", "Where the balancer asks whether this host takes callers."},
+    FieldSpec{"metrics_address", Address, true, "", 0, 0, "", "Where metrics are served."},
+    FieldSpec{"discovery_address", Address, true, "", 0, 0, "", "Where routes and targets are published."},
+    FieldSpec{"log_level", Choice, false, "info", 0, 0, "debug|info|warn|error", "Least severity that is logged."},
+    FieldSpec{"log_lines_per_second", Integer, false, "400", 1, 1'000'000, "", "Log lines written at most; others are counted."},
+    FieldSpec{"shutdown_announce", Duration, false, "2500ms", 0, 60'000, "", "Time served while already reported as not ready."},
+    FieldSpec{"shutdown_limit", Duration, false, "5600ms", 10, 600'000, "", "Time after which a shutdown ends even with requests in flight."},
+    FieldSpec{"journal_lines", Integer, false, "2000", 1, 1'000'000, "", "Decision lines kept in memory."},
+    FieldSpec{"hosts", Integer, false, "12", 1, 100'000, "", "Entry hosts that share the bounds of targets, at most."},
+    FieldSpec{"extra_send_ratio", Fraction, false, "0.1", 0, 1, "", "Sends beyond the first to a service, as a share of its requests."},
+    FieldSpec{"extra_send_slack", Fraction, false, "0", 0, 1e6, "", "Extra sends beyond the ratio that all hosts may make in ten seconds."},
+    FieldSpec{"cold_factor", Fraction, false, "1", 0, 100, "", "How far the published request rate of a cold target may be exceeded."},
+    FieldSpec{"cold_slack", Fraction, false, "0", 0, 1e6, "", "Requests a second beyond that at a cold target, from all hosts."},
+    FieldSpec{"max_in_flight", Integer, false, "512", 1, 1'000'000, "", "Requests that this host runs at once."},
+};
+
 std::string_view typeName(FieldType type)
 {
     switch (type) {
@@ -161,8 +184,13 @@
 
 std::span<const FieldSpec> schemaOf(DocumentKind kind)
 {
-    if (kind == DocumentKind::Settings) {
+    switch (kind) {
+    case DocumentKind::Settings:
         return settingsSchema;
+    case DocumentKind::ForwardSettings:
+        return forwardSchema;
+    case DocumentKind::Environment:
+        break;
     }
     return environmentSchema;
 }
@@ -184,6 +212,8 @@
     appendTable(page, DocumentKind::Settings);
     page += "\n## Environment document\n\n";
     appendTable(page, DocumentKind::Environment);
+    page += "\n## Settings of a forwarding process\n\n";
+    appendTable(page, DocumentKind::ForwardSettings);
     return page;
 }
 
--- a/src/config/Schema.h
+++ b/src/config/Schema.h
@@ -1,5 +1,5 @@
 /*
- * Part config: the table of fields of the two documents.
+ * Part config: the table of fields of the documents.
  * The same table drives the checks, the defaults and the reference page.
  */
 #pragma once
@@ -10,8 +10,12 @@
 
 namespace magnoliaspan {
 
-/// The two documents that the program reads.
-enum class DocumentKind { Settings, Environment };
+/// The documents that the program reads.
+enum class DocumentKind {
+    Settings,        ///< Of an entry host with the own interface.
+    Environment,     ///< What operators publish for it.
+    ForwardSettings, ///< Of an entry host that forwards along published routes.
+};
 
 /// What the text of a field must be.
 enum class FieldType { Text, Name, Integer, Fraction, Duration, Address, Choice, List, Map };
@@ -34,7 +38,7 @@
 /// \returns the row for \p path, or null.
 const FieldSpec *findField(std::span<const FieldSpec> schema, std::string_view path);
 
-/// \returns the reference page for both documents, in Markdown.
+/// \returns the reference page for all documents, in Markdown.
 std::string referencePage();
 
 } // namespace magnoliaspan
--- a/src/core/Clock.h
+++ b/src/core/Clock.h
@@ -20,6 +20,12 @@
     /// \returns the system time; other hosts may differ by the clock offset bound.
     virtual WallTime wallNow() const = 0;
 
+    /// \returns a time that also counts while the machine is suspended; only differences mean anything.
+    virtual TimePoint bootNow() const
+    {
+        return now();
+    }
+
     /// \returns \p instant of the steady clock as system time.
     WallTime toWall(TimePoint instant) const
     {
--- /dev/null
+++ b/src/discovery/DiscoveryController.cpp
@@ -0,0 +1,183 @@
+/*
+ * Part discovery: when to read, to wait and to try again.
+ */
+#include "discovery/DiscoveryController.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace magnoliaspan {
+
+namespace {
+
+// A connection that goes silent under a watch is noticed after this and the source's answer time; five seconds after
+// such a loss the bounds on configuration and draining hold again.
+constexpr Duration watchTime = std::chrono::milliseconds(5'000);
+// Changes come in bursts and each call is paid for; well under the shortest drain time of three seconds.
+constexpr Duration gatherTime = std::chrono::milliseconds(300);
+constexpr Duration firstBackoff = std::chrono::milliseconds(200);
+// Bounds how late a regained source is noticed; the bounds on configuration hold again after five seconds.
+constexpr Duration maxBackoff = std::chrono::milliseconds(1'500);
+constexpr unsigned maxDoublings = 4;
+// Entries that lapsed while the source was away are back within two seconds of its return, if their targets live.
+constexpr Duration lapseTime = std::chrono::milliseconds(2'300);
+
+} // namespace
+
+DiscoveryController::DiscoveryController(const Clock &clock,
+                                         Scheduler &scheduler,
+                                         Journal &journal,
+                                         DiscoverySource &source,
+                                         Registry &registry,
+                                         std::uint64_t seed)
+    : clock_(clock)
+    , scheduler_(scheduler)
+    , journal_(journal)
+    , source_(source)
+    , registry_(registry)
+    , random_(seed)
+    , alive_(std::make_shared<int>(0))
+{
+}
+
+void DiscoveryController::start()
+{
+    next();
+}
+
+void DiscoveryController::refresh()
+{
+    scheduler_.cancel(timer_);
+    source_.cancel();
+    next();
+}
+
+bool DiscoveryController::everRead() const
+{
+    return everRead_;
+}
+
+std::optional<TimePoint> DiscoveryController::lastAnswer() const
+{
+    return lastAnswer_;
+}
+
+void DiscoveryController::next()
+{
+    if (needsAll_) {
+        // The watch that follows brings an old reading up to date, unless that just proved impossible.
+        readAll(everRead_ ? Freshness::Latest : Freshness::MayBeOld);
+    } else {
+        watch();
+    }
+}
+
+void DiscoveryController::readAll(Freshness freshness)
+{
+    source_.readAll(freshness, [this, freshness, alive = std::weak_ptr<int>(alive_)](const DiscoveryReading &reading) {
+        if (!alive.expired()) {
+            allRead(freshness, reading);
+        }
+    });
+}
+
+void DiscoveryController::allRead(Freshness freshness, const DiscoveryReading &reading)
+{
+    if (reading.error) {
+        failed(reading.error);
+        return;
+    }
+    answered();
+    journal_.note(Part::Config,
+                  "",
+                  fmt::format("full reading taken revision={} changes={} latest={}",
+                              reading.revision,
+                              reading.changes.size(),
+                              freshness == Freshness::Latest));
+    registry_.apply(reading, true, recentlyLost());
+    revision_ = reading.revision;
+    needsAll_ = false;
+    everRead_ = true;
+    next();
+}
+
+void DiscoveryController::watch()
+{
+    source_.watch(revision_, watchTime, [this, alive = std::weak_ptr<int>(alive_)](const DiscoveryReading &reading) {
+        if (!alive.expired()) {
+            watched(reading);
+        }
+    });
+}
+
+void DiscoveryController::watched(const DiscoveryReading &reading)
+{
+    if (reading.historyLost) {
+        answered();
+        journal_.note(Part::Config, "", fmt::format("history is lost, everything is read again revision={}", revision_));
+        needsAll_ = true;
+        next();
+        return;
+    }
+    if (reading.error) {
+        failed(reading.error);
+        return;
+    }
+    answered();
+    registry_.apply(reading, false, recentlyLost());
+    revision_ = std::max(revision_, reading.revision);
+    if (reading.changes.empty()) {
+        next();
+        return;
+    }
+    again(gatherTime);
+}
+
+void DiscoveryController::failed(const std::error_code &error)
+{
+    if (failures_ == 0) {
+        journal_.note(Part::Config, "", fmt::format("discovery lost revision={} error=\"{}\"", revision_, error.message()));
+    }
+    ++failures_;
+    again(backoff());
+}
+
+void DiscoveryController::answered()
+{
+    lastAnswer_ = clock_.now();
+    if (failures_ == 0) {
+        return;
+    }
+    journal_.note(Part::Config, "", fmt::format("discovery regained revision={} failed_calls={}", revision_, failures_));
+    failures_ = 0;
+    regained_ = clock_.now();
+    scheduler_.cancel(lapseTimer_);
+    lapseTimer_ = scheduler_.callAt(clock_.now() + lapseTime, [this, alive = std::weak_ptr<int>(alive_)] {
+        if (!alive.expired()) {
+            registry_.dropLapsed();
+        }
+    });
+}
+
+bool DiscoveryController::recentlyLost() const
+{
+    return regained_ && clock_.now() - *regained_ < lapseTime;
+}
+
+Duration DiscoveryController::backoff()
+{
+    const Duration longest = std::min(maxBackoff, firstBackoff * (1U << std::min(failures_, maxDoublings)));
+    // Between half and all of it, so that hosts that lost the source together don't return together.
+    return longest / 2 + Duration(std::uniform_int_distribution<Duration::rep>(0, longest.count() / 2)(random_));
+}
+
+void DiscoveryController::again(Duration wait)
+{
+    timer_ = scheduler_.callAt(clock_.now() + wait, [this, alive = std::weak_ptr<int>(alive_)] {
+        if (!alive.expired()) {
+            next();
+        }
+    });
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/discovery/DiscoveryController.h
@@ -0,0 +1,67 @@
+/*
+ * Part discovery: reads and watches the published state for as long as the process runs.
+ */
+#pragma once
+
+#include "core/Scheduler.h"
+#include "discovery/DiscoverySource.h"
+#include "discovery/Registry.h"
+
+#include <memory>
+#include <optional>
+#include <random>
+
+namespace magnoliaspan {
+
+/// \brief Feeds the registry.
+class DiscoveryController
+{
+public:
+    DiscoveryController(const Clock &clock,
+                        Scheduler &scheduler,
+                        Journal &journal,
+                        DiscoverySource &source,
+                        Registry &registry,
+                        std::uint64_t seed);
+
+    void start();
+
+    /// \brief Asks again at once, dropping the running call; after the process was suspended.
+    void refresh();
+
+    /// \returns whether a full reading was ever taken over.
+    bool everRead() const;
+
+    /// \returns when the source last answered, if ever.
+    std::optional<TimePoint> lastAnswer() const;
+
+private:
+    void readAll(Freshness freshness);
+    void allRead(Freshness freshness, const DiscoveryReading &reading);
+    void watch();
+    void watched(const DiscoveryReading &reading);
+    void failed(const std::error_code &error);
+    void answered();
+    void again(Duration wait);
+    void next();
+    Duration backoff();
+    bool recentlyLost() const;
+
+    const Clock &clock_;
+    Scheduler &scheduler_;
+    Journal &journal_;
+    DiscoverySource &source_;
+    Registry &registry_;
+    std::mt19937_64 random_;
+    std::int64_t revision_ = 0;
+    bool needsAll_ = true; // Whether the next call must be a full reading.
+    bool everRead_ = false;
+    unsigned failures_ = 0; // In a row.
+    std::optional<TimePoint> lastAnswer_;
+    std::optional<TimePoint> regained_; // When calls succeeded again after failures.
+    TimerId timer_ = TimerId::None;
+    TimerId lapseTimer_ = TimerId::None;
+    std::shared_ptr<int> alive_; // Handlers hold it weakly, so that none outlives the controller.
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/discovery/DiscoverySource.h
@@ -0,0 +1,79 @@
+/*
+ * Part discovery: the published state, as a full reading and as changes since a revision.
+ * Implementations translate; when to read, what to believe and when to give up is the controller's.
+ */
+#pragma once
+
+#include "discovery/TargetEntry.h"
+#include "routing/RoutingTable.h"
+
+#include <functional>
+#include <string>
+#include <system_error>
+#include <variant>
+#include <vector>
+
+namespace magnoliaspan {
+
+/// \brief A routing table was published.
+struct TablePublished {
+    RoutingTablePtr table;
+};
+
+/// \brief A target registered or changed its entry.
+struct TargetPublished {
+    TargetEntry entry;
+};
+
+/// \brief A target's entry was removed.
+struct TargetRemoved {
+    std::string id;
+};
+
+/// \brief A zone was evacuated, or is taken back.
+struct ZoneEvacuation {
+    std::string zone;
+    bool evacuated = false;
+};
+
+/// \brief A value that could not be read; it is left out.
+struct Unreadable {
+    std::string key;
+    std::string reason;
+};
+
+using DiscoveryChange = std::variant<TablePublished, TargetPublished, TargetRemoved, ZoneEvacuation, Unreadable>;
+
+/// \brief The result of one call.
+struct DiscoveryReading {
+    std::error_code error;    ///< Set when nothing was read.
+    bool historyLost = false; ///< The changes since the revision are no longer known; a full reading is needed.
+    std::int64_t revision = 0;
+    std::vector<DiscoveryChange> changes; ///< In the order of their publication.
+};
+
+/// How old a full reading may be.
+enum class Freshness {
+    Latest,   ///< All that was acknowledged before the call.
+    MayBeOld, ///< Cheaper, and perhaps seconds old.
+};
+
+/// \brief Reads what operators and targets publish; one call at a time.
+class DiscoverySource
+{
+public:
+    using Handler = std::function<void(DiscoveryReading reading)>;
+
+    virtual ~DiscoverySource() = default;
+
+    /// \brief Reads everything. \p handler is called once, never from inside.
+    virtual void readAll(Freshness freshness, Handler handler) = 0;
+
+    /// \brief Waits up to \p wait for changes after \p revision.
+    virtual void watch(std::int64_t revision, Duration wait, Handler handler) = 0;
+
+    /// \brief Drops the running call; its handler is not called any more.
+    virtual void cancel() = 0;
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/discovery/Registry.h
@@ -0,0 +1,64 @@
+/*
+ * Part discovery: the targets, zones and routing table that this host believes in.
+ */
+#pragma once
+
+#include "core/Clock.h"
+#include "core/Journal.h"
+#include "discovery/DiscoverySource.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace magnoliaspan {
+
+/// \brief Holds the newest published state and tells its listener of each change.
+class Registry
+{
+public:
+    /// \brief Called after each change, in order.
+    struct Listener {
+        std::function<void(const RoutingTablePtr &table)> tableAccepted;
+        std::function<void(const TargetEntry &entry)> targetChanged;
+        std::function<void(const std::string &id)> targetRemoved;
+        std::function<void(const std::string &zone, bool evacuated)> zoneChanged;
+    };
+
+    Registry(const Clock &clock, Journal &journal);
+
+    void setListener(Listener listener);
+
+    /// \brief Takes over changes. \param revision of the reading, for the log.
+    /// \param complete whether the reading is the whole state, so that what it lacks is gone.
+    /// \param keepLapsed whether entries that are gone may only have lapsed, and are kept until dropLapsed().
+    void apply(const DiscoveryReading &reading, bool complete, bool keepLapsed);
+
+    /// \brief Removes the entries that lapsed and did not come back.
+    void dropLapsed();
+
+    /// \returns the table in force, null before the first one.
+    const RoutingTablePtr &table() const;
+
+    const std::map<std::string, TargetEntry, std::less<>> &targets() const;
+    bool evacuated(std::string_view zone) const;
+
+private:
+    void accept(const RoutingTablePtr &table);
+    void publish(const TargetEntry &entry);
+    void remove(const std::string &id, bool keepLapsed);
+    void setEvacuated(const std::string &zone, bool evacuated);
+    void removeMissing(const DiscoveryReading &reading, bool keepLapsed);
+
+    const Clock &clock_;
+    Journal &journal_;
+    Listener listener_;
+    RoutingTablePtr table_; // Invariant: its version never decreases.
+    std::map<std::string, TargetEntry, std::less<>> targets_;
+    std::set<std::string, std::less<>> evacuated_;
+    std::set<std::string, std::less<>> lapsed_; // Invariant: each is in targets_.
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/forward/ForwardEnvironment.h
@@ -0,0 +1,25 @@
+/*
+ * Part forward: what replicas and requests use of their host.
+ */
+#pragma once
+
+#include "core/Clock.h"
+#include "core/Counters.h"
+#include "core/Journal.h"
+#include "core/Scheduler.h"
+#include "forward/ForwardCodec.h"
+#include "transport/Transport.h"
+
+namespace magnoliaspan {
+
+/// \brief References that outlive every replica and request.
+struct ForwardEnvironment {
+    const Clock &clock;
+    Scheduler &scheduler;
+    Transport &transport;
+    Journal &journal;
+    Counters &counters;
+    const ForwardCodec &codec;
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/forward/ForwardService.cpp
@@ -0,0 +1,130 @@
+/*
+ * Part forward: admission.
+ */
+#include "forward/ForwardService.h"
+
+#include "core/Visitor.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace magnoliaspan {
+
+namespace {
+
+constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusUnavailable = 503;
+// A host that has just started reads the table within some hundred milliseconds.
+constexpr Duration noTableRetry = std::chrono::milliseconds(300);
+// Work in flight ends within some latencies.
+constexpr Duration busyRetry = std::chrono::milliseconds(200);
+// The way back to the caller, so that the answer arrives before it stops waiting.
+constexpr Duration answerReserve = std::chrono::milliseconds(5);
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace
+
+ForwardService::ForwardService(const ForwardEnvironment &environment,
+                               Registry &registry,
+                               ReplicaController &replicas,
+                               ActiveRequests &active,
+                               std::uint64_t seed)
+    : environment_(environment)
+    , registry_(registry)
+    , replicas_(replicas)
+    , active_(active)
+    , random_(seed)
+{
+}
+
+ServiceReply
+ForwardService::refuse(const ForwardRequest &request, unsigned status, std::string_view cause, std::optional<Duration> retryAfter)
+{
+    const std::int64_t version = registry_.table() ? registry_.table()->version() : 0;
+    environment_.journal.note(
+        Part::Admit,
+        request.id,
+        fmt::format("request refused status={} cause=\"{}\" host={} path={} table={}", status, cause, request.host, pathOf(request.target), version));
+    environment_.counters.add(fmt::format("magnoliaspan_refusals_total{{cause=\"{}\"}}", cause));
+    return refusalReply(status, cause, retryAfter);
+}
+
+ForwardService::Plan ForwardService::plan(const Route &route)
+{
+    return std::visit(Visitor{
+                          [](const ToService &to) { return Plan{{to.service}, nullptr}; },
+                          [this, &route](const ToSplit &to) {
+                              const double offset = std::uniform_real_distribution<double>(0, 1)(random_);
+                              return Plan{{splits_.next(route.name, to.parts, offset)}, nullptr};
+                          },
+                          [](const ToShards &to) { return Plan{to.services, &to}; },
+                      },
+                      route.destination);
+}
+
+std::shared_ptr<CallContext> ForwardService::contextOf(ForwardRequest &&request, const Route &route)
+{
+    const TimePoint now = environment_.clock.now();
+    const Duration patience = request.timeLeft.value_or(route.timeout);
+    // A caller that asks again has less time left than one that asks first; its goal counts from the first time.
+    Duration &longest = longestPatience_[route.name];
+    longest = std::max(longest, patience);
+    auto context = std::make_shared<CallContext>();
+    context->request = std::move(request);
+    context->table = registry_.table();
+    context->route = &route;
+    context->deadline = now + std::max(Duration(1), std::min(patience, route.timeout) - answerReserve);
+    context->goal = now + route.latencyGoal - (longest - patience);
+    context->single = !std::holds_alternative<ToShards>(route.destination);
+    return context;
+}
+
+Service::Abandon ForwardService::handle(ServiceRequest incoming, ReplyHandler handler)
+{
+    ForwardRequest request = environment_.codec.decodeRequest(std::move(incoming));
+    const RoutingTablePtr table = registry_.table();
+    if (!table) {
+        handler(refuse(request, statusUnavailable, "no routing table yet", noTableRetry));
+        return {};
+    }
+    const Route *route = table->find(request.host, pathOf(request.target));
+    if (route == nullptr) {
+        handler(refuse(request, statusNotFound, "no route", std::nullopt));
+        return {};
+    }
+    if (request.id.empty()) {
+        handler(refuse(request, statusBadRequest, "no request id", std::nullopt));
+        return {};
+    }
+    if (active_.count() >= replicas_.limits().maxInFlight) {
+        handler(refuse(request, statusUnavailable, "too many requests in flight", busyRetry));
+        return {};
+    }
+    Plan planned = plan(*route);
+    const std::uint64_t number = ++lastOperation_;
+    auto finished = [this, number, token = active_.begin(), handler = std::move(handler)](ServiceReply reply) {
+        const auto operation = operations_.extract(number);
+        handler(std::move(reply));
+    };
+    auto operation = std::make_shared<ForwardOperation>(environment_,
+                                                        replicas_,
+                                                        contextOf(std::move(request), *route),
+                                                        std::move(planned.services),
+                                                        planned.shards,
+                                                        std::move(finished));
+    operations_.emplace(number, operation);
+    operation->start();
+    return [this, number] {
+        const auto found = operations_.extract(number);
+        if (!found.empty()) {
+            found.mapped()->abandon();
+        }
+    };
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/forward/HopByHop.cpp
@@ -0,0 +1,77 @@
+/*
+ * Part forward: header fields of one connection.
+ */
+#include "forward/ForwardCodec.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace magnoliaspan {
+
+namespace {
+
+constexpr std::array<std::string_view, 10> hopByHopNames = {"connection",
+                                                           "keep-alive",
+                                                           "proxy-connection",
+                                                           "proxy-authenticate",
+                                                           "proxy-authorization",
+                                                           "te",
+                                                           "trailer",
+                                                           "transfer-encoding",
+                                                           "upgrade",
+                                                           // The whole body is here; nobody waits for leave to send it.
+                                                           "expect"};
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+std::vector<std::string> namedByConnection(const std::vector<WireHeader> &headers)
+{
+    std::vector<std::string> names;
+    for (const WireHeader &header : headers) {
+        if (!sameHeader(header.name, "connection")) {
+            continue;
+        }
+        std::string_view rest(header.value);
+        while (!rest.empty()) {
+            const auto comma = rest.find(',');
+            names.emplace_back(trimmed(rest.substr(0, comma)));
+            rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
+        }
+    }
+    return names;
+}
+
+} // namespace
+
+bool sameHeader(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
+        return std::tolower(x) == std::tolower(y);
+    });
+}
+
+bool isHopByHop(std::string_view name)
+{
+    return std::any_of(hopByHopNames.begin(), hopByHopNames.end(), [name](std::string_view known) { return sameHeader(name, known); });
+}
+
+void removeHopByHop(std::vector<WireHeader> &headers)
+{
+    const std::vector<std::string> named = namedByConnection(headers);
+    std::erase_if(headers, [&named](const WireHeader &header) {
+        return isHopByHop(header.name)
+               || std::any_of(named.begin(), named.end(), [&header](const std::string &name) { return sameHeader(header.name, name); });
+    });
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/forward/LatencyEstimate.h
@@ -0,0 +1,31 @@
+/*
+ * Part forward: what an exchange with one target is expected to take.
+ */
+#pragma once
+
+#include "core/Time.h"
+
+#include <optional>
+
+namespace magnoliaspan {
+
+/// \brief Exponentially weighted mean of latencies that one outlier cannot move far.
+/// A belief that nothing renews moves back towards what is usual, so that a target that was slow is tried again.
+class LatencyEstimate
+{
+public:
+    /// \brief Adds one observation taken at \p now.
+    void add(Duration latency, TimePoint now);
+
+    /// \returns the expectation at \p now; \p usual before the first observation.
+    Duration expected(Duration usual, TimePoint now) const;
+
+    /// \returns the time since the last observation, nothing before the first.
+    std::optional<Duration> age(TimePoint now) const;
+
+private:
+    double mean_ = 0; // Microseconds.
+    std::optional<TimePoint> renewedAt_;
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/forward/Replica.cpp
@@ -0,0 +1,527 @@
+/*
+ * Part forward: connections of a replica, and what it learns from its sends.
+ */
+#include "forward/Replica.h"
+
+#include "transport/TransportError.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <fmt/format.h>
+
+namespace magnoliaspan {
+
+namespace {
+
+// Three round trips between the farthest regions and a handshake fit in a quarter of it; a lost opening packet does not.
+constexpr Duration connectTime = std::chrono::milliseconds(400);
+constexpr Duration firstUnreachable = std::chrono::milliseconds(200);
+// Bounds how late a target that is back is noticed.
+constexpr Duration maxUnreachable = std::chrono::seconds(2);
+constexpr unsigned maxDoublings = 5;
+// A target that sheds has a slot free again within some requests' time.
+constexpr Duration firstAside = std::chrono::milliseconds(60);
+constexpr Duration maxAside = std::chrono::milliseconds(1'500);
+// Ten exchanges make up two thirds of the failure rate; half of it is forgotten in two seconds.
+constexpr double failureWeight = 0.1;
+constexpr double failureHalfLife = 2'000'000; // Microseconds.
+// Targets close idle connections; work that must not run twice keeps away from those that may be about to.
+constexpr Duration freshIdle = std::chrono::seconds(2);
+constexpr Duration keepAliveGuard = std::chrono::milliseconds(500);
+constexpr Duration longestIdle = std::chrono::seconds(10);
+// Without news for this long a replica is tried by one request at a time.
+constexpr Duration staleAfter = std::chrono::seconds(1);
+
+} // namespace
+
+std::string_view toString(SendEnd end)
+{
+    switch (end) {
+    case SendEnd::Answered:
+        return "answered";
+    case SendEnd::NotRun:
+        return "not_run";
+    case SendEnd::OtherTarget:
+        return "other_target";
+    case SendEnd::NeverSent:
+        return "never_sent";
+    case SendEnd::Lost:
+        break;
+    }
+    return "lost";
+}
+
+Replica::Replica(const ForwardEnvironment &environment, TargetEntry entry, const ReplicaLimits &limits)
+    : environment_(environment)
+    , entry_(std::move(entry))
+    , limits_(limits)
+    , coldUntil_(environment.clock.now() + entry_.coldLeft)
+    , alive_(std::make_shared<int>(0))
+{
+}
+
+Replica::~Replica()
+{
+    for (const auto &[id, send] : sends_) {
+        environment_.scheduler.cancel(send.timer);
+    }
+    for (const auto &[id, line] : lines_) {
+        environment_.scheduler.cancel(line.timer);
+    }
+}
+
+const TargetEntry &Replica::entry() const
+{
+    return entry_;
+}
+
+const ReplicaLimits &Replica::limits() const
+{
+    return limits_;
+}
+
+void Replica::setLimits(const ReplicaLimits &limits)
+{
+    limits_ = limits;
+}
+
+void Replica::update(const TargetEntry &entry)
+{
+    entry_ = entry;
+    coldUnknown_ = false;
+    coldUntil_ = environment_.clock.now() + entry.coldLeft;
+}
+
+void Replica::suspectCold()
+{
+    coldUntil_ = std::max(coldUntil_, environment_.clock.now() + limits_.warmUp);
+}
+
+bool Replica::cold() const
+{
+    return coldUnknown_ || environment_.clock.now() < coldUntil_;
+}
+
+bool Replica::takeColdSend()
+{
+    const TimePoint now = environment_.clock.now();
+    const double passed = std::chrono::duration<double>(now - coldTokensAt_).count();
+    // At most one token is held, so that no second sees more than the share and one.
+    coldTokens_ = std::min(1.0, coldTokens_ + passed * limits_.coldPerSecond);
+    coldTokensAt_ = now;
+    if (coldTokens_ < 1) {
+        return false;
+    }
+    coldTokens_ -= 1;
+    return true;
+}
+
+void Replica::end()
+{
+    ended_ = true;
+}
+
+bool Replica::ended() const
+{
+    return ended_;
+}
+
+bool Replica::unreachable() const
+{
+    return environment_.clock.now() < unreachableUntil_;
+}
+
+TimePoint Replica::reachableAgainAt() const
+{
+    return unreachableUntil_;
+}
+
+Duration Replica::expected(const std::string &workKind, Duration usual) const
+{
+    const auto found = latency_.find(workKind);
+    return found == latency_.end() ? usual : found->second.expected(usual, environment_.clock.now());
+}
+
+ReplicaView Replica::view(const std::string &workKind, Duration usual) const
+{
+    const TimePoint now = environment_.clock.now();
+    ReplicaView view;
+    view.expected = expected(workKind, usual);
+    view.inFlight = static_cast<unsigned>(sends_.size());
+    view.slots = entry_.slots;
+    for (const auto &[id, send] : sends_) {
+        view.oldestWait = std::max(view.oldestWait, now - send.queuedAt);
+    }
+    view.failureRate = failureRate_ * std::exp2(-static_cast<double>((now - failureRateAt_).count()) / failureHalfLife);
+    view.otherRegion = limits_.otherRegion;
+    const auto estimate = latency_.find(workKind);
+    const bool slower = estimate != latency_.end() && view.expected > usual + usual / 2;
+    view.stale = slower && now - lastHeard_ > staleAfter;
+    view.setAside = now < asideUntil_;
+    return view;
+}
+
+std::size_t Replica::sends() const
+{
+    return sends_.size();
+}
+
+std::size_t Replica::connections() const
+{
+    return lines_.size();
+}
+
+Replica::ConnectionId Replica::idleLine(bool repeatable) const
+{
+    const TimePoint now = environment_.clock.now();
+    ConnectionId best = ConnectionId::None;
+    TimePoint bestSince{};
+    for (const auto &[id, line] : lines_) {
+        if (line.connecting || line.send != SendId::None) {
+            continue;
+        }
+        const Duration idle = now - line.idleSince;
+        const bool expiring = line.keepAlive > Duration::zero() && idle + keepAliveGuard > line.keepAlive;
+        if (expiring || (!repeatable && idle > freshIdle)) {
+            continue;
+        }
+        // The one used last is the least likely to have been closed.
+        if (best == ConnectionId::None || line.idleSince > bestSince) {
+            best = id;
+            bestSince = line.idleSince;
+        }
+    }
+    return best;
+}
+
+SendId Replica::send(SendOrder order)
+{
+    assert(order.request != nullptr && "a send needs a request");
+    const SendId id{++lastSend_};
+    const bool repeatable = order.repeatable;
+    Send &send = sends_[id];
+    send.order = std::move(order);
+    send.queuedAt = environment_.clock.now();
+    const ConnectionId line = idleLine(repeatable);
+    if (line != ConnectionId::None) {
+        start(line, id);
+        return id;
+    }
+    queue_.push_back(id);
+    makeRoom();
+    serveQueue();
+    return id;
+}
+
+// Idle connections that a send may not use must not keep it from opening one.
+void Replica::makeRoom()
+{
+    if (lines_.size() < limits_.connections) {
+        return;
+    }
+    for (const auto &[id, line] : lines_) {
+        if (!line.connecting && line.send == SendId::None) {
+            close(id);
+            return;
+        }
+    }
+}
+
+void Replica::open()
+{
+    const ConnectionId id{++lastLine_};
+    Line &line = lines_[id];
+    const auto alive = std::weak_ptr<int>(alive_);
+    line.timer = environment_.scheduler.callAt(environment_.clock.now() + connectTime, [this, alive, id] {
+        if (!alive.expired()) {
+            connected(id, TransportError::Silent);
+        }
+    });
+    environment_.counters.add("magnoliaspan_target_connects_total");
+    line.connection = environment_.transport.connect(
+        entry_.address,
+        [this, alive, id](std::error_code error) {
+            if (!alive.expired()) {
+                connected(id, error);
+            }
+        },
+        [this, alive, id] {
+            if (!alive.expired()) {
+                closed(id);
+            }
+        });
+}
+
+void Replica::connected(ConnectionId id, std::error_code error)
+{
+    const auto found = lines_.find(id);
+    if (found == lines_.end() || !found->second.connecting) {
+        return;
+    }
+    Line &line = found->second;
+    environment_.scheduler.cancel(line.timer);
+    if (error) {
+        const bool silent = error == make_error_code(TransportError::Silent);
+        close(id);
+        connectFailed();
+        // A refused connect shows that the process ended; a silent one may be a lost packet.
+        coldUnknown_ = coldUnknown_ || !silent || connectFailures_ > 1;
+        environment_.journal.note(Part::Target,
+                                  "",
+                                  fmt::format("connect failed target={} address={} error=\"{}\" in_a_row={} waiting={}",
+                                              entry_.id,
+                                              entry_.address.toString(),
+                                              error.message(),
+                                              connectFailures_,
+                                              queue_.size()));
+        const auto waiting = std::move(queue_);
+        queue_.clear();
+        for (const SendId send : waiting) {
+            finish(send, {SendEnd::NeverSent, {}, {}});
+        }
+        return;
+    }
+    connectFailures_ = 0;
+    line.connecting = false;
+    lineFree(id);
+}
+
+void Replica::connectFailed()
+{
+    const unsigned doublings = std::min(connectFailures_, maxDoublings);
+    ++connectFailures_;
+    unreachableUntil_ = environment_.clock.now() + std::min(maxUnreachable, firstUnreachable * (1U << doublings));
+    environment_.counters.add("magnoliaspan_target_connect_failures_total");
+}
+
+void Replica::start(ConnectionId id, SendId sendId)
+{
+    Line &line = lines_.at(id);
+    Send &send = sends_.at(sendId);
+    line.send = sendId;
+    send.connection = id;
+    const TimePoint now = environment_.clock.now();
+    send.sentAt = now;
+    const Duration left = std::max(Duration(std::chrono::milliseconds(1)), send.order.deadline - now);
+    WireRequest wire = environment_.codec.encodeRequest(*send.order.request, entry_.id, left);
+    line.connection->exchange(std::move(wire), [this, alive = std::weak_ptr<int>(alive_), id](WireReply reply) {
+        if (!alive.expired()) {
+            replied(id, std::move(reply));
+        }
+    });
+}
+
+void Replica::replied(ConnectionId id, WireReply reply)
+{
+    const auto found = lines_.find(id);
+    if (found == lines_.end()) {
+        return;
+    }
+    const SendId sendId = found->second.send;
+    const auto running = sends_.find(sendId);
+    assert(running != sends_.end() && "a busy connection carries a send");
+    const bool broken = static_cast<bool>(reply.error);
+    SendResult result;
+    result.elapsed = environment_.clock.now() - *running->second.sentAt;
+    judge(running->second, result, std::move(reply));
+    found->second.send = SendId::None;
+    found->second.keepAlive = result.answer.keepAlive.value_or(Duration::zero());
+    if (broken || result.answer.closes || ended_) {
+        close(id);
+    } else {
+        lineFree(id);
+    }
+    finish(sendId, std::move(result));
+}
+
+void Replica::judge(Send &send, SendResult &result, WireReply reply)
+{
+    const TimePoint now = environment_.clock.now();
+    if (reply.error) {
+        result.end = reply.bytesSent ? SendEnd::Lost : SendEnd::NeverSent;
+        if (reply.bytesSent) {
+            failed(reply.error.message());
+        }
+        return;
+    }
+    lastHeard_ = now;
+    result.answer = environment_.codec.decodeAnswer(std::move(reply));
+    if (result.answer.otherTarget) {
+        result.end = SendEnd::OtherTarget;
+        ended_ = true;
+        environment_.journal.note(
+            Part::Target, "", fmt::format("address belongs to another target now target={} address={}", entry_.id, entry_.address.toString()));
+        return;
+    }
+    result.end = result.answer.notRun ? SendEnd::NotRun : SendEnd::Answered;
+    if (!isGood(result.answer)) {
+        failed(result.answer.notRun ? "shed" : "failure answered");
+        return;
+    }
+    succeeded();
+    // A refusal is fast, so that only whole answers tell how long the work takes.
+    latency_[send.order.workKind].add(result.elapsed, now);
+}
+
+void Replica::succeeded()
+{
+    const TimePoint now = environment_.clock.now();
+    if (coldUnknown_) {
+        // It may have started just now, and its entry has not said so yet.
+        coldUnknown_ = false;
+        suspectCold();
+    }
+    failures_ = 0;
+    asideUntil_ = {};
+    failureRate_ *= (1 - failureWeight) * std::exp2(-static_cast<double>((now - failureRateAt_).count()) / failureHalfLife);
+    failureRateAt_ = now;
+}
+
+void Replica::failed(std::string_view cause)
+{
+    const TimePoint now = environment_.clock.now();
+    ++failures_;
+    asideUntil_ = now + std::min(maxAside, firstAside * failures_);
+    const double before = failureRate_ * std::exp2(-static_cast<double>((now - failureRateAt_).count()) / failureHalfLife);
+    failureRate_ = before + failureWeight * (1 - before);
+    failureRateAt_ = now;
+    environment_.counters.add(fmt::format("magnoliaspan_target_failures_total{{cause=\"{}\"}}", cause));
+}
+
+void Replica::lineFree(ConnectionId id)
+{
+    Line &line = lines_.at(id);
+    line.idleSince = environment_.clock.now();
+    if (queue_.empty()) {
+        return;
+    }
+    const SendId next = queue_.front();
+    queue_.pop_front();
+    start(id, next);
+}
+
+void Replica::serveQueue()
+{
+    const auto connecting = static_cast<std::size_t>(
+        std::count_if(lines_.begin(), lines_.end(), [](const auto &entry) { return entry.second.connecting; }));
+    if (connecting < queue_.size() && lines_.size() < limits_.connections) {
+        open();
+    }
+}
+
+// The target closed an idle connection.
+void Replica::closed(ConnectionId id)
+{
+    const auto found = lines_.find(id);
+    if (found == lines_.end() || found->second.send != SendId::None) {
+        return;
+    }
+    close(id);
+    serveQueue();
+}
+
+void Replica::close(ConnectionId id)
+{
+    const auto found = lines_.find(id);
+    if (found == lines_.end()) {
+        return;
+    }
+    environment_.scheduler.cancel(found->second.timer);
+    // It may be closed by a call of its own.
+    std::shared_ptr<Connection> connection = std::move(found->second.connection);
+    lines_.erase(found);
+    if (connection) {
+        connection->close();
+        environment_.scheduler.callAt(environment_.clock.now(), [connection] {});
+    }
+}
+
+void Replica::finish(SendId id, SendResult result)
+{
+    const auto found = sends_.find(id);
+    if (found == sends_.end()) {
+        return;
+    }
+    environment_.scheduler.cancel(found->second.timer);
+    const auto handler = std::move(found->second.order.handler);
+    sends_.erase(found);
+    serveQueue();
+    if (handler) {
+        // Connects may fail inside send().
+        environment_.scheduler.callAt(environment_.clock.now(),
+                                      [handler, result = std::move(result)]() mutable { handler(std::move(result)); });
+    }
+}
+
+bool Replica::sent(SendId send) const
+{
+    const auto found = sends_.find(send);
+    return found != sends_.end() && found->second.sentAt.has_value();
+}
+
+void Replica::abandon(SendId id)
+{
+    const auto found = sends_.find(id);
+    if (found == sends_.end()) {
+        return;
+    }
+    const ConnectionId line = found->second.connection;
+    environment_.scheduler.cancel(found->second.timer);
+    sends_.erase(found);
+    std::erase(queue_, id);
+    if (line != ConnectionId::None) {
+        close(line);
+        serveQueue();
+    }
+}
+
+void Replica::release(SendId id, TimePoint until)
+{
+    const auto found = sends_.find(id);
+    if (found == sends_.end()) {
+        return;
+    }
+    Send &send = found->second;
+    if (send.connection == ConnectionId::None) {
+        abandon(id);
+        return;
+    }
+    send.order.handler = nullptr;
+    send.order.request = nullptr;
+    send.released = true;
+    const std::string kind = send.order.workKind;
+    send.timer = environment_.scheduler.callAt(until, [this, alive = std::weak_ptr<int>(alive_), id, kind] {
+        if (alive.expired()) {
+            return;
+        }
+        const auto late = sends_.find(id);
+        if (late == sends_.end()) {
+            return;
+        }
+        const TimePoint now = environment_.clock.now();
+        // It would have taken at least this long.
+        latency_[kind].add(now - *late->second.sentAt, now);
+        abandon(id);
+    });
+}
+
+void Replica::closeIdle()
+{
+    const TimePoint now = environment_.clock.now();
+    std::vector<ConnectionId> old;
+    for (const auto &[id, line] : lines_) {
+        if (line.connecting || line.send != SendId::None) {
+            continue;
+        }
+        const Duration limit = line.keepAlive > Duration::zero() ? std::min(longestIdle, line.keepAlive - keepAliveGuard) : longestIdle;
+        if (now - line.idleSince > limit) {
+            old.push_back(id);
+        }
+    }
+    for (const ConnectionId id : old) {
+        close(id);
+    }
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/forward/ReplicaController.cpp
@@ -0,0 +1,286 @@
+/*
+ * Part forward: the choice of a replica.
+ */
+#include "forward/ReplicaController.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace magnoliaspan {
+
+namespace {
+
+// Replicas of one service stand in several regions, so that most connections are made by the few hosts of their own:
+// a fifth for each of these and a fifteenth for each of the others add up to less than the whole on seven hosts.
+constexpr unsigned localConnectionParts = 5;
+constexpr unsigned remoteConnectionParts = 15;
+constexpr unsigned leastConnections = 2;
+// Draining targets serve on for three seconds or more; they are a last resort for the first of these.
+constexpr Duration drainingUse = std::chrono::seconds(1);
+constexpr Duration firstUsual = std::chrono::milliseconds(15);
+// Two ways between regions of today's deployments.
+constexpr Duration firstUsualElsewhere = std::chrono::milliseconds(45);
+// Part of the published ratio of extra sends that is used; the rest covers requests counted in other windows.
+constexpr double ratioUsed = 0.8;
+constexpr double slackUsed = 0.8;
+
+} // namespace
+
+std::string_view HostPlace::regionOf(std::string_view zone) const
+{
+    const auto found = regionOfZone.find(zone);
+    return found == regionOfZone.end() ? std::string_view() : std::string_view(found->second);
+}
+
+ReplicaController::ReplicaController(const ForwardEnvironment &environment,
+                                     Registry &registry,
+                                     HostPlace place,
+                                     const ForwardLimits &limits)
+    : environment_(environment)
+    , registry_(registry)
+    , place_(std::move(place))
+    , limits_(limits)
+{
+}
+
+void ReplicaController::setLimits(const ForwardLimits &limits)
+{
+    limits_ = limits;
+    budgets_.clear();
+    tableAccepted();
+}
+
+const ForwardLimits &ReplicaController::limits() const
+{
+    return limits_;
+}
+
+ReplicaLimits ReplicaController::limitsFor(const TargetEntry &entry) const
+{
+    ReplicaLimits result;
+    result.otherRegion = place_.regionOf(entry.zone) != place_.regionOf(place_.zone);
+    const ServiceSpec *service = registry_.table() ? registry_.table()->findService(entry.service) : nullptr;
+    if (service == nullptr) {
+        return result;
+    }
+    const unsigned parts = result.otherRegion ? remoteConnectionParts : localConnectionParts;
+    result.connections = std::max(leastConnections, service->maxConnections / parts);
+    result.warmUp = service->warmUp;
+    result.coldPerSecond = (service->coldRequestsPerSecond * limits_.coldFactor + limits_.coldSlack) / std::max(1U, limits_.hosts);
+    return result;
+}
+
+void ReplicaController::tableAccepted()
+{
+    for (const auto &[id, replica] : replicas_) {
+        replica->setLimits(limitsFor(replica->entry()));
+    }
+}
+
+void ReplicaController::index(const TargetEntry &entry)
+{
+    byService_[entry.service].insert(entry.id);
+}
+
+void ReplicaController::unindex(const std::string &id)
+{
+    for (auto &[service, ids] : byService_) {
+        ids.erase(id);
+    }
+}
+
+void ReplicaController::targetChanged(const TargetEntry &entry)
+{
+    const auto found = replicas_.find(entry.id);
+    const bool sameStart = found != replicas_.end() && found->second->entry().startedAt == entry.startedAt
+                           && found->second->entry().address == entry.address && found->second->entry().service == entry.service
+                           && !found->second->ended();
+    if (sameStart) {
+        found->second->update(entry);
+    } else {
+        retire(entry.id);
+        replicas_[entry.id] = std::make_shared<Replica>(environment_, entry, limitsFor(entry));
+        index(entry);
+    }
+    if (entry.stage == TargetStage::Draining) {
+        drainingSince_.try_emplace(entry.id, environment_.clock.now());
+    } else {
+        drainingSince_.erase(entry.id);
+    }
+}
+
+void ReplicaController::targetRemoved(const std::string &id)
+{
+    retire(id);
+    drainingSince_.erase(id);
+}
+
+void ReplicaController::retire(const std::string &id)
+{
+    unindex(id);
+    const auto found = replicas_.extract(id);
+    if (!found.empty()) {
+        found.mapped()->end();
+        retired_.push_back(std::move(found.mapped()));
+    }
+}
+
+void ReplicaController::zoneChanged(const std::string &zone, bool evacuated)
+{
+    if (evacuated) {
+        return;
+    }
+    // Targets may come back cold from an evacuation before their entries say so.
+    for (const auto &[id, replica] : replicas_) {
+        if (replica->entry().zone == zone) {
+            replica->suspectCold();
+        }
+    }
+}
+
+bool ReplicaController::usable(const Replica &replica, const ReplicaQuery &query) const
+{
+    const TargetEntry &entry = replica.entry();
+    if (replica.ended() || replica.unreachable() || registry_.evacuated(entry.zone)) {
+        return false;
+    }
+    if (std::find(query.tried.begin(), query.tried.end(), entry.id) != query.tried.end()) {
+        return false;
+    }
+    return query.allowedRegions.empty()
+           || std::find(query.allowedRegions.begin(), query.allowedRegions.end(), place_.regionOf(entry.zone))
+                  != query.allowedRegions.end();
+}
+
+ReplicaController::ReplicaList ReplicaController::candidates(const ReplicaQuery &query) const
+{
+    ReplicaList result;
+    const auto ids = byService_.find(query.service);
+    if (ids == byService_.end()) {
+        return result;
+    }
+    for (const std::string &id : ids->second) {
+        const auto &replica = replicas_.find(id)->second;
+        if (!usable(*replica, query)) {
+            continue;
+        }
+        result.push_back(replica);
+    }
+    return result;
+}
+
+std::shared_ptr<Replica> ReplicaController::best(std::span<const std::shared_ptr<Replica>> candidates, const ReplicaQuery &query) const
+{
+    std::shared_ptr<Replica> chosen;
+    Duration least{};
+    for (const auto &replica : candidates) {
+        const std::string kind(query.workKind);
+        const Duration score = replicaScore(replica->view(kind, usual(kind, replica->limits().otherRegion)));
+        if (chosen != nullptr && score >= least) {
+            continue;
+        }
+        chosen = replica;
+        least = score;
+    }
+    return chosen;
+}
+
+std::shared_ptr<Replica> ReplicaController::pick(const ReplicaQuery &query)
+{
+    const ReplicaList all = candidates(query);
+    ReplicaList warm;
+    ReplicaList draining;
+    ReplicaList cold;
+    const TimePoint now = environment_.clock.now();
+    for (const auto &replica : all) {
+        if (replica->entry().stage == TargetStage::Draining) {
+            const auto since = drainingSince_.find(replica->entry().id);
+            if (since != drainingSince_.end() && now - since->second < drainingUse) {
+                draining.push_back(replica);
+            }
+            continue;
+        }
+        (replica->cold() ? cold : warm).push_back(replica);
+    }
+    if (auto replica = best(warm, query)) {
+        return replica;
+    }
+    if (auto replica = best(draining, query)) {
+        return replica;
+    }
+    for (const auto &replica : cold) {
+        if (replica->takeColdSend()) {
+            return replica;
+        }
+    }
+    return nullptr;
+}
+
+bool ReplicaController::available(const ReplicaQuery &query) const
+{
+    const ReplicaList all = candidates(query);
+    return std::any_of(all.begin(), all.end(), [](const auto &replica) { return replica->entry().stage == TargetStage::Ready; });
+}
+
+std::optional<TimePoint> ReplicaController::nextTrial(const ReplicaQuery &query) const
+{
+    std::optional<TimePoint> earliest;
+    const auto ids = byService_.find(query.service);
+    if (ids == byService_.end()) {
+        return earliest;
+    }
+    for (const std::string &id : ids->second) {
+        const Replica &replica = *replicas_.find(id)->second;
+        if (!replica.unreachable() || (earliest && *earliest <= replica.reachableAgainAt())) {
+            continue;
+        }
+        earliest = replica.reachableAgainAt();
+    }
+    return earliest;
+}
+
+Duration ReplicaController::usual(std::string_view workKind, bool otherRegion) const
+{
+    const auto found = usual_.find(fmt::format("{}{}", otherRegion ? '-' : '+', workKind));
+    const Duration first = otherRegion ? firstUsualElsewhere : firstUsual;
+    return found == usual_.end() ? first : found->second.expected(first, environment_.clock.now());
+}
+
+void ReplicaController::observe(std::string_view workKind, bool otherRegion, Duration latency)
+{
+    usual_[fmt::format("{}{}", otherRegion ? '-' : '+', workKind)].add(latency, environment_.clock.now());
+}
+
+Budget &ReplicaController::extraSends(std::string_view service)
+{
+    const auto found = budgets_.find(service);
+    if (found != budgets_.end()) {
+        return found->second;
+    }
+    const double burst = std::max(1.0, slackUsed * limits_.extraSendSlack / std::max(1U, limits_.hosts));
+    return budgets_.emplace(std::string(service), Budget(ratioUsed * limits_.extraSendRatio, burst)).first->second;
+}
+
+void ReplicaController::tick()
+{
+    std::erase_if(retired_, [](const std::shared_ptr<Replica> &replica) { return replica->sends() == 0; });
+    for (const auto &[id, replica] : replicas_) {
+        replica->closeIdle();
+    }
+}
+
+std::size_t ReplicaController::size() const
+{
+    return replicas_.size();
+}
+
+std::size_t ReplicaController::connections() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, replica] : replicas_) {
+        count += replica->connections();
+    }
+    return count;
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/forward/ReplicaScore.cpp
@@ -0,0 +1,67 @@
+/*
+ * Part forward: the cost of a choice.
+ */
+#include "forward/ReplicaScore.h"
+
+#include <algorithm>
+
+namespace magnoliaspan {
+
+namespace {
+
+// Work of this host's own that each slot already holds lengthens the wait; other hosts hold as much.
+constexpr double queueWeight = 1.05;
+// Bytes between regions are dear: another region must win by this much beyond its distance.
+constexpr Duration regionCost = std::chrono::milliseconds(12);
+// A replica that fails half of its requests costs as much as one that is 100 ms slower.
+constexpr double failureCost = 400'000; // Microseconds at a failure rate of one.
+// An exchange that runs this much longer than expected shows that the replica pauses or is slow.
+constexpr double overdueFactor = 2;
+constexpr Duration overdueSlack = std::chrono::milliseconds(5);
+// Beyond any other cost, so that a replica that was set aside is chosen only when all are.
+constexpr Duration setAsideCost = std::chrono::seconds(10);
+// A replica that was not heard from is tried by one request at a time.
+constexpr Duration trialCost = std::chrono::seconds(1);
+
+constexpr double secondSendFactor = 2.2;
+constexpr Duration secondSendSlack = std::chrono::milliseconds(6);
+constexpr Duration secondSendLeast = std::chrono::milliseconds(18);
+// Work of single requests varies more, and they have no other shards to wait for.
+constexpr double singleFactor = 2.5;
+constexpr Duration singleSlack = std::chrono::milliseconds(20);
+constexpr Duration singleLeast = std::chrono::milliseconds(60);
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+} // namespace
+
+Duration replicaScore(const ReplicaView &view)
+{
+    const double load = static_cast<double>(view.inFlight) / std::max(1U, view.slots);
+    Duration score = scaled(view.expected, 1 + queueWeight * load);
+    score += Duration(static_cast<Duration::rep>(failureCost * view.failureRate * view.failureRate));
+    if (view.otherRegion) {
+        score += regionCost;
+    }
+    if (view.oldestWait > scaled(view.expected, overdueFactor) + overdueSlack) {
+        score += view.oldestWait;
+    }
+    if (view.stale && view.inFlight > 0) {
+        score += trialCost;
+    }
+    if (view.setAside) {
+        score += setAsideCost;
+    }
+    return score;
+}
+
+Duration secondSendDelay(Duration expected, bool single)
+{
+    return single ? std::max(singleLeast, scaled(expected, singleFactor) + singleSlack)
+                  : std::max(secondSendLeast, scaled(expected, secondSendFactor) + secondSendSlack);
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/forward/ShardCall.cpp
@@ -0,0 +1,262 @@
+/*
+ * Part forward: when to send again, and where.
+ */
+#include "forward/ShardCall.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace magnoliaspan {
+
+namespace {
+
+// A send that lost runs on this long, so that its connection can be kept; targets must be idle of work nobody waits for
+// within half a second.
+constexpr Duration lingerTime = std::chrono::milliseconds(400);
+// Beyond the targets that may run a request, this many that refuse to are asked.
+constexpr unsigned maxRefusals = 2;
+// A send of work that must not run twice moves to another target when no connection stands after this time.
+constexpr Duration unsentLimit = std::chrono::milliseconds(150);
+// The way back to the caller and the merge.
+constexpr Duration goalReserve = std::chrono::milliseconds(12);
+
+long long milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace
+
+ShardCall::ShardCall(const ForwardEnvironment &environment,
+                     ReplicaController &replicas,
+                     std::shared_ptr<const CallContext> context,
+                     std::string service)
+    : environment_(environment)
+    , replicas_(replicas)
+    , context_(std::move(context))
+    , service_(std::move(service))
+{
+}
+
+void ShardCall::start(Handler handler)
+{
+    handler_ = std::move(handler);
+    replicas_.extraSends(service_).earn();
+    if (!sendNext(Reason::First)) {
+        finish({false, std::nullopt, Verdict::NotRun, "no target can be used"});
+    }
+}
+
+ReplicaQuery ShardCall::query() const
+{
+    return {service_, context_->route->name, context_->route->allowedRegions, tried_};
+}
+
+Verdict ShardCall::verdict() const
+{
+    if (failure_) {
+        return Verdict::Ran;
+    }
+    return mayHaveRun_ > 0 ? Verdict::MayHaveRun : Verdict::NotRun;
+}
+
+bool ShardCall::offered() const
+{
+    return arrivals_ > 0
+           || std::any_of(running_.begin(), running_.end(), [](const Attempt &attempt) { return attempt.replica->sent(attempt.send); });
+}
+
+unsigned ShardCall::sends() const
+{
+    return sends_;
+}
+
+const std::string &ShardCall::service() const
+{
+    return service_;
+}
+
+bool ShardCall::sendNext(Reason reason)
+{
+    const auto replica = replicas_.pick(query());
+    if (!replica) {
+        return false;
+    }
+    // What never left this host is no extra load for the service.
+    if (arrivals_ > 0 && !replicas_.extraSends(service_).spend()) {
+        environment_.counters.add("magnoliaspan_extra_sends_denied_total");
+        return false;
+    }
+    Attempt attempt;
+    attempt.replica = replica;
+    attempt.number = ++sends_;
+    attempt.startedAt = environment_.clock.now();
+    attempt.expected = replica->expected(context_->route->name, replicas_.usual(context_->route->name, replica->limits().otherRegion));
+    tried_.push_back(replica->entry().id);
+    SendOrder order;
+    order.request = &context_->request;
+    order.workKind = context_->route->name;
+    order.deadline = context_->deadline;
+    order.repeatable = context_->route->repeatability == Repeatability::Idempotent;
+    order.handler = [self = shared_from_this(), number = attempt.number](SendResult result) { self->ended(number, std::move(result)); };
+    attempt.send = replica->send(std::move(order));
+    running_.push_back(attempt);
+    environment_.counters.add("magnoliaspan_sends_total");
+    if (reason != Reason::First) {
+        environment_.counters.add(reason == Reason::Late ? "magnoliaspan_second_sends_total" : "magnoliaspan_retries_total");
+        note(reason == Reason::Late ? "sent again, the first is late" : "sent again after a failure", attempt, cause_);
+    }
+    arrivals_ += replica->sent(attempt.send) ? 1 : 0;
+    arm();
+    return true;
+}
+
+bool ShardCall::mayRunAgain() const
+{
+    const bool repeatable = context_->route->repeatability == Repeatability::Idempotent;
+    const auto running = static_cast<unsigned>(running_.size());
+    if (!repeatable) {
+        return mayHaveRun_ + running == 0 && refused_ <= maxRefusals;
+    }
+    return mayHaveRun_ + running < context_->route->maxTargets && refused_ <= maxRefusals;
+}
+
+// Sets the timer for the moment at which the only running send counts as late.
+void ShardCall::arm()
+{
+    environment_.scheduler.cancel(timer_);
+    timer_ = TimerId::None;
+    if (running_.size() != 1 || !handler_) {
+        return;
+    }
+    const Attempt &attempt = running_.front();
+    const bool repeatable = context_->route->repeatability == Repeatability::Idempotent;
+    Duration delay = repeatable ? secondSendDelay(attempt.expected, context_->single) : unsentLimit;
+    // A second send that cannot answer before the goal is of little use.
+    const TimePoint now = environment_.clock.now();
+    const TimePoint lastUse = context_->goal - goalReserve - attempt.expected - attempt.expected / 2;
+    if (repeatable && lastUse > now && attempt.startedAt + delay > lastUse) {
+        delay = std::max(attempt.expected + attempt.expected / 2, lastUse - attempt.startedAt);
+    }
+    timer_ = environment_.scheduler.callAt(attempt.startedAt + delay, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->secondDue();
+        }
+    });
+}
+
+void ShardCall::secondDue()
+{
+    timer_ = TimerId::None;
+    if (!handler_ || running_.size() != 1) {
+        return;
+    }
+    const Attempt first = running_.front();
+    if (!first.replica->sent(first.send)) {
+        // It waits for a connection: another replica costs nothing.
+        first.replica->abandon(first.send);
+        running_.clear();
+        cause_ = "no connection in time";
+        note("send given up before it left", first, cause_);
+        afterFailure();
+        return;
+    }
+    arrivals_ = std::max(arrivals_, 1U);
+    if (!mayRunAgain()) {
+        return;
+    }
+    cause_ = "late";
+    sendNext(Reason::Late);
+}
+
+void ShardCall::ended(std::uint64_t number, SendResult result)
+{
+    const auto found
+        = std::find_if(running_.begin(), running_.end(), [number](const Attempt &attempt) { return attempt.number == number; });
+    if (!handler_ || found == running_.end()) {
+        return;
+    }
+    const Attempt attempt = *found;
+    running_.erase(found);
+    const bool left = result.end != SendEnd::NeverSent;
+    arrivals_ = std::max(arrivals_, left ? 1U : 0U);
+    if (result.end == SendEnd::Answered && isGood(result.answer)) {
+        replicas_.observe(context_->route->name, attempt.replica->limits().otherRegion, result.elapsed);
+        finish({true, std::move(result.answer), Verdict::Ran, ""});
+        return;
+    }
+    const std::string status = result.answer.status > 0 ? fmt::format(" status={}", result.answer.status) : "";
+    cause_ = fmt::format("{}{}", toString(result.end), status);
+    note("send failed", attempt, cause_);
+    environment_.counters.add(fmt::format("magnoliaspan_send_failures_total{{end=\"{}\"}}", toString(result.end)));
+    if (result.end == SendEnd::Answered) {
+        failure_ = std::move(result.answer);
+    }
+    if (result.end == SendEnd::Answered || result.end == SendEnd::Lost) {
+        ++mayHaveRun_;
+    } else if (left) {
+        ++refused_;
+    }
+    afterFailure();
+}
+
+void ShardCall::afterFailure()
+{
+    if (mayRunAgain() && sendNext(Reason::Failed)) {
+        return;
+    }
+    if (!running_.empty()) {
+        arm();
+        return;
+    }
+    finish({false, std::move(failure_), verdict(), cause_});
+}
+
+void ShardCall::finish(CallResult result)
+{
+    environment_.scheduler.cancel(timer_);
+    dropAttempts(false);
+    const auto handler = std::move(handler_);
+    handler_ = nullptr;
+    environment_.scheduler.callAt(environment_.clock.now(), [self = shared_from_this(), handler, result = std::move(result)]() mutable {
+        handler(std::move(result));
+    });
+}
+
+void ShardCall::stop(bool callerLeft)
+{
+    environment_.scheduler.cancel(timer_);
+    handler_ = nullptr;
+    dropAttempts(callerLeft);
+}
+
+void ShardCall::dropAttempts(bool callerLeft)
+{
+    const bool repeatable = context_->route->repeatability == Repeatability::Idempotent;
+    for (const Attempt &attempt : running_) {
+        if (!attempt.replica->sent(attempt.send) || (callerLeft && repeatable)) {
+            attempt.replica->abandon(attempt.send);
+        } else {
+            // Work that must not run twice is not broken off: it could not be told whether it ran.
+            attempt.replica->release(attempt.send, repeatable ? environment_.clock.now() + lingerTime : context_->deadline);
+        }
+    }
+    running_.clear();
+}
+
+void ShardCall::note(std::string_view what, const Attempt &attempt, std::string_view detail) const
+{
+    environment_.journal.note(Part::Route,
+                              context_->request.id,
+                              fmt::format("{} service={} target={} send={} cause=\"{}\" expected_ms={} waited_ms={} table={}",
+                                          what,
+                                          service_,
+                                          attempt.replica->entry().id,
+                                          attempt.number,
+                                          detail,
+                                          milliseconds(attempt.expected),
+                                          milliseconds(environment_.clock.now() - attempt.startedAt),
+                                          context_->table->version()));
+}
+
+} // namespace magnoliaspan
--- a/src/net/EventLoop.cpp
+++ b/src/net/EventLoop.cpp
@@ -19,6 +19,7 @@
     explicit Impl(const Clock &clock)
         : clock(clock)
         , signals(context)
+        , reloads(context)
     {
     }
 
@@ -33,10 +34,23 @@
         });
     }
 
+    void waitForReload()
+    {
+        reloads.async_wait([this](boost::system::error_code error, int) {
+            if (error) {
+                return;
+            }
+            reloadSignal();
+            waitForReload();
+        });
+    }
+
     const Clock &clock;
     asio::io_context context{1};
     asio::signal_set signals;
+    asio::signal_set reloads;
     std::function<void()> stopSignal;
+    std::function<void()> reloadSignal;
     std::unordered_map<std::uint64_t, std::unique_ptr<asio::steady_timer>> timers;
     std::uint64_t lastTimer = 0;
 };
@@ -75,6 +89,13 @@
     impl_->waitForSignal();
 }
 
+void EventLoop::onReloadSignal(std::function<void()> handler)
+{
+    impl_->reloadSignal = std::move(handler);
+    impl_->reloads.add(SIGHUP);
+    impl_->waitForReload();
+}
+
 void EventLoop::run()
 {
     const auto keepRunning = asio::make_work_guard(impl_->context);
--- a/src/net/EventLoop.h
+++ b/src/net/EventLoop.h
@@ -28,6 +28,9 @@
     /// \brief Calls \p handler each time the process receives SIGTERM or SIGINT.
     void onStopSignal(std::function<void()> handler);
 
+    /// \brief Calls \p handler each time the process receives SIGHUP.
+    void onReloadSignal(std::function<void()> handler);
+
     /// \brief Runs until stop().
     void run();
 
--- a/src/net/HttpPlatformSource.cpp
+++ b/src/net/HttpPlatformSource.cpp
@@ -35,61 +35,6 @@
 
 } // namespace
 
-/// One call, on a connection of its own.
-class HttpPlatformSource::Call : public std::enable_shared_from_this<Call>
-{
-public:
-    explicit Call(Scheduler &scheduler)
-        : scheduler_(scheduler)
-    {
-    }
-
-    void
-    start(Transport &transport, const Endpoint &endpoint, std::string path, TimePoint limit, std::function<void(const WireReply &)> handler)
-    {
-        handler_ = std::move(handler);
-        timer_ = scheduler_.callAt(limit, [self = shared_from_this()] { self->end({TransportError::Silent, true, 0, ""}); });
-        connection_ = transport.connect(
-            endpoint, [self = shared_from_this(), path = std::move(path)](std::error_code error) { self->connected(error, path); }, [] {});
-    }
-
-    /// The handler is not called any more.
-    void cancel()
-    {
-        handler_ = nullptr;
-        scheduler_.cancel(timer_);
-        connection_->close();
-    }
-
-private:
-    void connected(std::error_code error, const std::string &path)
-    {
-        if (error) {
-            end({error, false, 0, ""});
-            return;
-        }
-        connection_->exchange({path, "", ""}, [self = shared_from_this()](const WireReply &reply) { self->end(reply); });
-    }
-
-    void end(const WireReply &reply)
-    {
-        if (!handler_) {
-            return;
-        }
-        const auto handler = std::move(handler_);
-        handler_ = nullptr;
-        scheduler_.cancel(timer_);
-        const auto self = shared_from_this();
-        connection_->close();
-        handler(reply);
-    }
-
-    Scheduler &scheduler_;
-    std::function<void(const WireReply &)> handler_;
-    std::unique_ptr<Connection> connection_;
-    TimerId timer_ = TimerId::None;
-};
-
 HttpPlatformSource::HttpPlatformSource(const Clock &clock,
                                        Scheduler &scheduler,
                                        Transport &transport,
@@ -112,13 +57,13 @@
 
 void HttpPlatformSource::get(std::string path, std::function<void(const WireReply &)> handler)
 {
-    const auto call = std::make_shared<Call>(scheduler_);
+    const auto call = std::make_shared<SingleCall>(scheduler_);
     calls_.insert(call);
     call->start(transport_,
                 endpoint_,
-                std::move(path),
+                {std::move(path), "", ""},
                 clock_.now() + watchTime + answerTime,
-                [this, weak = std::weak_ptr<Call>(call), handler = std::move(handler)](const WireReply &reply) {
+                [this, weak = std::weak_ptr<SingleCall>(call), handler = std::move(handler)](const WireReply &reply) {
                     calls_.erase(weak.lock());
                     handler(reply);
                 });
--- a/src/net/HttpPlatformSource.h
+++ b/src/net/HttpPlatformSource.h
@@ -6,6 +6,7 @@
 #include "core/Clock.h"
 #include "core/Scheduler.h"
 #include "transport/PlatformSource.h"
+#include "transport/SingleCall.h"
 #include "transport/Transport.h"
 
 #include <memory>
@@ -25,7 +26,6 @@
     void watchMembership(std::int64_t after, std::function<void(MembershipReading)> handler) override;
 
 private:
-    class Call;
     void get(std::string path, std::function<void(const WireReply &)> handler);
 
     const Clock &clock_;
@@ -33,7 +33,7 @@
     Transport &transport_;
     Endpoint endpoint_;
     std::string environment_;
-    std::set<std::shared_ptr<Call>> calls_; // Those that wait for their answer.
+    std::set<std::shared_ptr<SingleCall>> calls_; // Those that wait for their answer.
 };
 
 } // namespace magnoliaspan
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -40,6 +40,9 @@
     result.requestId = field(request, "X-Request-Id");
     result.idempotencyKey = field(request, "Idempotency-Key");
     result.authorization = field(request, "X-Peer-Authorization");
+    for (const auto &header : request.base()) {
+        result.headers.push_back({std::string(header.name_string()), std::string(header.value())});
+    }
     result.body = std::move(request.body());
     return result;
 }
@@ -127,8 +130,11 @@
             readRequest();
             return;
         }
-        expireAfter(server_->limits.idleTime);
+        idle_ = true;
+        idleSince_ = std::chrono::steady_clock::now();
+        expireIdle();
         socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](boost::system::error_code error) {
+            self->idle_ = false;
             if (error) {
                 self->close();
                 return;
@@ -137,6 +143,11 @@
         });
     }
 
+    bool idle() const
+    {
+        return idle_;
+    }
+
     void close()
     {
         if (closed_) {
@@ -168,6 +179,24 @@
         });
     }
 
+    // The limit may have grown while the connection was idle.
+    void expireIdle()
+    {
+        const auto end = idleSince_ + server_->limits.idleTime;
+        timer_.expires_at(end);
+        timer_.async_wait([weak = weak_from_this(), end](boost::system::error_code error) {
+            const auto self = weak.lock();
+            if (error || !self || !self->idle_) {
+                return;
+            }
+            if (self->idleSince_ + self->server_->limits.idleTime > end) {
+                self->expireIdle();
+                return;
+            }
+            self->close();
+        });
+    }
+
     void readRequest()
     {
         expireAfter(server_->limits.requestTime);
@@ -236,7 +265,12 @@
         response_ = {};
         response_.version(11);
         response_.result(reply.status);
-        response_.set(http::field::content_type, reply.contentType);
+        for (const WireHeader &header : reply.headers) {
+            response_.insert(header.name, header.value);
+        }
+        if (!reply.contentType.empty()) {
+            response_.set(http::field::content_type, reply.contentType);
+        }
         response_.keep_alive(!close);
         response_.body() = std::move(reply.body);
         response_.prepare_payload();
@@ -259,6 +293,8 @@
     http::response<http::string_body> response_;
     Service::Abandon abandon_;
     std::uint64_t requests_ = 0;
+    std::chrono::steady_clock::time_point idleSince_{};
+    bool idle_ = false;    // Whether the connection waits for the first byte of a request.
     bool running_ = false; // Whether the service owes a reply.
     bool keepAlive_ = false;
     bool closed_ = false;
@@ -320,6 +356,22 @@
     impl_->acceptor.close(ignored);
 }
 
+void HttpServer::setLimits(const HttpServerLimits &limits)
+{
+    impl_->limits = limits;
+}
+
+void HttpServer::closeIdle()
+{
+    const auto sessions = impl_->sessions;
+    for (const auto &session : sessions) {
+        if (!session->idle()) {
+            continue;
+        }
+        session->close();
+    }
+}
+
 void HttpServer::closeAll()
 {
     const auto sessions = impl_->sessions;
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -39,6 +39,12 @@
     /// \brief Accepts no connection any more; those that stand end with their request.
     void stopAccepting();
 
+    /// \brief Replaces the bounds; the number of connections and requests already begun keep the old ones.
+    void setLimits(const HttpServerLimits &limits);
+
+    /// \brief Closes every connection on which no request has begun.
+    void closeIdle();
+
     /// \brief Closes every connection at once.
     void closeAll();
 
--- a/src/net/HttpTransport.cpp
+++ b/src/net/HttpTransport.cpp
@@ -54,15 +54,18 @@
             asio::post(socket_.get_executor(), [self = shared_from_this()] { self->fail(TransportError::ConnectionLost); });
             return;
         }
+        belongs_ = std::move(request.belongs);
         fill(std::move(request));
         bytesSent_ = true;
+        writing_ = true;
         http::async_write(socket_, request_, [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+            self->writing_ = false;
             if (error) {
                 self->fail(TransportError::ConnectionLost);
-                return;
             }
-            self->read();
         });
+        // A target may answer a long request before it has read all of it.
+        read();
     }
 
     void close()
@@ -97,6 +100,10 @@
     {
         request_ = {};
         request_.version(httpVersion);
+        if (!request.method.empty()) {
+            fillOpaque(std::move(request));
+            return;
+        }
         request_.method(request.body.empty() ? http::verb::get : http::verb::post);
         request_.target(request.path);
         request_.set(http::field::host, "magnoliaspan");
@@ -113,6 +120,17 @@
         request_.prepare_payload();
     }
 
+    void fillOpaque(WireRequest &&request)
+    {
+        request_.method_string(request.method);
+        request_.target(request.path);
+        for (const WireHeader &header : request.headers) {
+            request_.insert(header.name, header.value);
+        }
+        request_.body() = std::move(request.body);
+        request_.prepare_payload();
+    }
+
     void read()
     {
         parser_.emplace();
@@ -134,11 +152,18 @@
             fail(ended ? TransportError::ConnectionLost : TransportError::MalformedReply);
             return;
         }
-        WireReply reply;
-        reply.bytesSent = true;
-        reply.status = parser_->get().result_int();
-        reply.body = std::move(parser_->get().body());
-        const bool keepAlive = parser_->get().keep_alive() && buffer_.size() == 0;
+        WireReply reply = takeReply();
+        const bool staysOpen = parser_->get().keep_alive();
+        if (belongs_ && !belongs_(reply)) {
+            if (!staysOpen) {
+                fail(TransportError::ConnectionLost);
+                return;
+            }
+            read();
+            return;
+        }
+        // Bytes beyond the reply, or a request that is still being written, spoil the connection for the next one.
+        const bool keepAlive = staysOpen && buffer_.size() == 0 && !writing_;
         bytesSent_ = false;
         const auto handler = std::move(handler_);
         handler_ = nullptr;
@@ -153,6 +178,19 @@
         watchIdle();
     }
 
+    WireReply takeReply()
+    {
+        auto &message = parser_->get();
+        WireReply reply;
+        reply.bytesSent = true;
+        reply.status = message.result_int();
+        reply.body = std::move(message.body());
+        for (const auto &field : message.base()) {
+            reply.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        }
+        return reply;
+    }
+
     void fail(TransportError error)
     {
         if (closing_ || !handler_) {
@@ -211,6 +249,8 @@
     std::optional<http::response_parser<http::string_body>> parser_;
     beast::flat_buffer buffer_;
     bool bytesSent_ = false; // Whether any byte of the running exchange may have left.
+    std::function<bool(const WireReply &)> belongs_; // Of the running exchange.
+    bool writing_ = false;                           // Whether the request is not yet written in full.
     bool watching_ = false;
     bool closing_ = false;
 };
--- a/src/request/Service.h
+++ b/src/request/Service.h
@@ -3,8 +3,11 @@
  */
 #pragma once
 
+#include "transport/Connection.h"
+
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace magnoliaspan {
 
@@ -17,14 +20,16 @@
     std::string idempotencyKey;
     std::string authorization; ///< Of a peer.
     std::string body;
+    std::vector<WireHeader> headers = {}; ///< All of them, in the order received.
 };
 
 /// \brief The reply to a ServiceRequest.
 struct ServiceReply {
     unsigned status = 200;
-    std::string contentType = "application/json";
+    std::string contentType = "application/json"; ///< Empty sends none but what headers hold.
     std::string body;
-    bool close = false; ///< The connection ends after this reply.
+    bool close = false;                   ///< The connection ends after this reply.
+    std::vector<WireHeader> headers = {}; ///< Further ones.
 };
 
 /// \brief Answers requests of one port.
--- /dev/null
+++ b/src/transport/SingleCall.cpp
@@ -0,0 +1,58 @@
+/*
+ * Part transport: the call.
+ */
+#include "transport/SingleCall.h"
+
+#include "transport/TransportError.h"
+
+namespace magnoliaspan {
+
+SingleCall::SingleCall(Scheduler &scheduler)
+    : scheduler_(scheduler)
+{
+}
+
+void SingleCall::start(Transport &transport,
+                       const Endpoint &endpoint,
+                       WireRequest request,
+                       TimePoint limit,
+                       std::function<void(const WireReply &)> handler)
+{
+    handler_ = std::move(handler);
+    timer_ = scheduler_.callAt(limit, [self = shared_from_this()] { self->end({TransportError::Silent, true, 0, ""}); });
+    connection_ = transport.connect(
+        endpoint,
+        [self = shared_from_this(), request = std::move(request)](std::error_code error) { self->connected(error, request); },
+        [] {});
+}
+
+void SingleCall::cancel()
+{
+    handler_ = nullptr;
+    scheduler_.cancel(timer_);
+    connection_->close();
+}
+
+void SingleCall::connected(std::error_code error, const WireRequest &request)
+{
+    if (error) {
+        end({error, false, 0, ""});
+        return;
+    }
+    connection_->exchange(request, [self = shared_from_this()](const WireReply &reply) { self->end(reply); });
+}
+
+void SingleCall::end(const WireReply &reply)
+{
+    if (!handler_) {
+        return;
+    }
+    const auto handler = std::move(handler_);
+    handler_ = nullptr;
+    scheduler_.cancel(timer_);
+    const auto self = shared_from_this();
+    connection_->close();
+    handler(reply);
+}
+
+} // namespace magnoliaspan
--- a/tests/scenario/FakeNetwork.cpp
+++ b/tests/scenario/FakeNetwork.cpp
@@ -156,7 +156,8 @@
         }
         Node &node = *network_.find(address_);
         ServiceRequest arrived;
-        arrived.method = request.body.empty() ? "GET" : "POST";
+        arrived.method = !request.method.empty() ? request.method : request.body.empty() ? "GET" : "POST";
+        arrived.headers = request.headers;
         arrived.target = request.path;
         arrived.contentType = "application/json";
         arrived.authorization = request.authorization;
@@ -197,7 +198,7 @@
         const auto handler = std::move(handler_);
         handler_ = nullptr;
         const bool closes = reply.close;
-        handler({{}, true, reply.status, reply.body});
+        handler({{}, true, reply.status, reply.body, reply.headers});
         if (closes) {
             breakNow();
         }
