A send that has ended is not taken for one that waits

Cause: a send whose answer had arrived, but whose handler was yet to be called, counted as waiting for a connection; at the same instant its timer moved the request to another target. Ruled out: stray second answers (the trace shows two whole runs 150 ms apart, the bound on unsent work). Change: only a send without a connection waits; one that has ended does not.

--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -454,10 +454,10 @@
     }
 }
 
-bool Replica::sent(SendId send) const
+bool Replica::waiting(SendId send) const
 {
     const auto found = sends_.find(send);
-    return found != sends_.end() && found->second.sentAt.has_value();
+    return found != sends_.end() && !found->second.sentAt;
 }
 
 void Replica::abandon(SendId id)
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -101,8 +101,9 @@
     /// \brief Sends \p order on an idle or new connection, or queues it until one is free.
     SendId send(SendOrder order);
 
-    /// \returns whether a byte of the send has left this host.
-    bool sent(SendId send) const;
+    /// \returns whether the send still waits for a connection, so that no byte of it has left this host.
+    /// A send that has ended does not wait, also while its handler is yet to be called.
+    bool waiting(SendId send) const;
 
     /// \brief Drops a send at once; its connection is closed if it carries it.
     void abandon(SendId send);
--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -63,7 +63,7 @@
 bool ShardCall::offered() const
 {
     return arrivals_ > 0
-           || std::any_of(running_.begin(), running_.end(), [](const Attempt &attempt) { return attempt.replica->sent(attempt.send); });
+           || std::any_of(running_.begin(), running_.end(), [](const Attempt &attempt) { return !attempt.replica->waiting(attempt.send); });
 }
 
 unsigned ShardCall::sends() const
@@ -106,7 +106,7 @@
         environment_.counters.add(reason == Reason::Late ? "magnoliaspan_second_sends_total" : "magnoliaspan_retries_total");
         note(reason == Reason::Late ? "sent again, the first is late" : "sent again after a failure", attempt, cause_);
     }
-    arrivals_ += replica->sent(attempt.send) ? 1 : 0;
+    arrivals_ += replica->waiting(attempt.send) ? 0 : 1;
     arm();
     return true;
 }
@@ -152,7 +152,7 @@
         return;
     }
     const Attempt first = running_.front();
-    if (!first.replica->sent(first.send)) {
+    if (first.replica->waiting(first.send)) {
         // It waits for a connection: another replica costs nothing.
         first.replica->abandon(first.send);
         running_.clear();
@@ -234,7 +234,7 @@
 {
     const bool repeatable = context_->route->repeatability == Repeatability::Idempotent;
     for (const Attempt &attempt : running_) {
-        if (!attempt.replica->sent(attempt.send) || (callerLeft && repeatable)) {
+        if (attempt.replica->waiting(attempt.send) || (callerLeft && repeatable)) {
             attempt.replica->abandon(attempt.send);
         } else {
             // Work that must not run twice is not broken off: it could not be told whether it ran.
