A process ends after its callers' connections, not after a fixed pause

Change: once the stage is stopped, idle connections are closed and the loop ends with the last connection, or at the limit; the same for the own interface.

--- a/src/app/ForwardCommand.cpp
+++ b/src/app/ForwardCommand.cpp
@@ -6,6 +6,7 @@
 #include "app/ForwardHost.h"
 #include "app/TextFile.h"
 #include "magnoliaspan/net.h"
+#include "net/ConnectionDrain.h"
 #include "net/LogWriter.h"
 #include "platform/Adapter.h"
 
@@ -19,7 +20,6 @@
 
 namespace {
 
-constexpr Duration exitPause = std::chrono::milliseconds(50);
 // Settings may change without a signal.
 constexpr Duration settingsInterval = std::chrono::seconds(1);
 // Bodies are read at the pace of slow links.
@@ -61,6 +61,7 @@
     ForwardProcess(const ForwardSettings &settings, std::string settingsFile)
         : settingsFile_(std::move(settingsFile))
         , settingsText_(readTextFile(settingsFile_).value_or(""))
+        , shutdownLimit_(settings.shutdownLimit)
         , writer_(std::make_shared<LogWriter>(clock_, loop_, STDOUT_FILENO, settings.logLinesPerSecond))
         , logger_("magnoliaspan", writer_)
         , codec_(platform::makeCodec())
@@ -132,14 +133,14 @@
     void stageChanged(ServingStage stage)
     {
         if (stage == ServingStage::Announcing) {
+            stopLimit_ = clock_.now() + shutdownLimit_;
             callerServer_.announceClose();
         } else if (stage == ServingStage::Draining) {
             callerServer_.stopAccepting();
             callerServer_.closeIdle();
         } else if (stage == ServingStage::Stopped) {
             callerServer_.stopAccepting();
-            // The last replies are on their way.
-            loop_.callAt(clock_.now() + exitPause, [this] { loop_.stop(); });
+            stopWhenClosed(loop_, clock_, callerServer_, stopLimit_);
         }
     }
 
@@ -173,6 +174,8 @@
     HttpTransport transport_{loop_};
     std::string settingsFile_;
     std::string settingsText_; // As last read.
+    Duration shutdownLimit_;
+    TimePoint stopLimit_{}; // When the process ends even with connections that stand.
     std::shared_ptr<LogWriter> writer_;
     spdlog::logger logger_;
     std::unique_ptr<ForwardCodec> codec_;
--- a/src/app/ServeCommand.cpp
+++ b/src/app/ServeCommand.cpp
@@ -5,6 +5,7 @@
 
 #include "magnoliaspan/entryhost.h"
 #include "magnoliaspan/net.h"
+#include "net/ConnectionDrain.h"
 
 #include <cstdio>
 #include <random>
@@ -16,7 +17,6 @@
 namespace {
 
 constexpr std::size_t maxPeerBodyBytes = 2'097'152;
-constexpr Duration exitPause = std::chrono::milliseconds(50);
 
 std::shared_ptr<spdlog::logger> makeLogger(const Settings &settings)
 {
@@ -63,6 +63,11 @@
         return {};
     }
 
+    HttpServer &callers()
+    {
+        return callerServer_;
+    }
+
     void announceClose()
     {
         callerServer_.announceClose();
@@ -106,15 +111,16 @@
         std::fprintf(stderr, "magnoliaspan serve: cannot listen on %s: %s\n", where.c_str(), error.message().c_str());
         return 1;
     }
+    TimePoint stopLimit{};
     host.serving().onStage([&](ServingStage stage) {
         if (stage == ServingStage::Announcing) {
+            stopLimit = clock.now() + settings.shutdownLimit;
             ports.announceClose();
         } else if (stage == ServingStage::Draining) {
             ports.stopAccepting();
         } else if (stage == ServingStage::Stopped) {
             ports.stopAccepting();
-            // The last replies are on their way.
-            loop.callAt(clock.now() + exitPause, [&loop] { loop.stop(); });
+            stopWhenClosed(loop, clock, ports.callers(), stopLimit);
         }
     });
     loop.onStopSignal([&host] { host.stop(); });
--- /dev/null
+++ b/src/net/ConnectionDrain.h
@@ -0,0 +1,17 @@
+/*
+ * Part net: the end of a process, once its callers' connections have ended.
+ */
+#pragma once
+
+#include "core/Clock.h"
+#include "net/EventLoop.h"
+#include "net/HttpServer.h"
+
+namespace magnoliaspan {
+
+/// \brief Stops \p loop when \p server has no connection any more, or at \p limit.
+/// Idle connections are closed; one on which a request has begun gets its answer first.
+/// The server must have stopped accepting and must close each connection with its answer.
+void stopWhenClosed(EventLoop &loop, const Clock &clock, HttpServer &server, TimePoint limit);
+
+} // namespace magnoliaspan
