--- /dev/null
+++ b/tests/unit/ForwardFixture.cpp
@@ -0,0 +1,335 @@
+/*
+ * Unit tests: fake targets and callers of a forwarding host.
+ */
+#include "ForwardFixture.h"
+
+#include <fmt/format.h>
+
+namespace magnoliaspan::testing {
+
+namespace {
+
+constexpr Duration awayDelay = std::chrono::milliseconds(12);
+
+std::string headerOf(const std::vector<WireHeader> &headers, std::string_view name)
+{
+    for (const WireHeader &header : headers) {
+        if (sameHeader(header.name, name)) {
+            return header.value;
+        }
+    }
+    return "";
+}
+
+} // namespace
+
+ForwardRequest PlainCodec::decodeRequest(ServiceRequest request) const
+{
+    ForwardRequest result;
+    result.id = headerOf(request.headers, "id");
+    result.host = headerOf(request.headers, "host");
+    const std::string left = headerOf(request.headers, "left");
+    if (!left.empty()) {
+        result.timeLeft = std::chrono::milliseconds(std::stoll(left));
+    }
+    result.method = request.method;
+    result.target = request.target;
+    result.body = request.body;
+    result.headers = std::move(request.headers);
+    return result;
+}
+
+WireRequest PlainCodec::encodeRequest(const ForwardRequest &request, std::string_view targetId, Duration timeLeft) const
+{
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
+    return {request.target, request.body, "", {{"id", request.id}, {"target", std::string(targetId)}, {"left", std::to_string(ms)}}, request.method};
+}
+
+TargetAnswer PlainCodec::decodeAnswer(WireReply reply) const
+{
+    TargetAnswer answer;
+    answer.status = reply.status;
+    answer.otherTarget = reply.status == 421;
+    answer.notRun = !headerOf(reply.headers, "not-run").empty() || answer.otherTarget;
+    answer.signature = headerOf(reply.headers, "signature");
+    answer.headers = reply.headers;
+    answer.body = std::move(reply.body);
+    return answer;
+}
+
+ServiceReply PlainCodec::encodeMerged(std::span<const std::string> signatures, std::size_t missing, std::string body) const
+{
+    ServiceReply reply;
+    reply.headers = {{"signatures", fmt::format("{}", fmt::join(signatures, ","))}, {"missing", std::to_string(missing)}};
+    reply.body = std::move(body);
+    return reply;
+}
+
+ScriptedDiscovery::ScriptedDiscovery(Scheduler &scheduler, const Clock &clock)
+    : scheduler_(scheduler)
+    , clock_(clock)
+{
+}
+
+void ScriptedDiscovery::readAll(Freshness freshness, Handler handler)
+{
+    calls.emplace_back(freshness == Freshness::Latest ? "all latest" : "all old");
+    waiting_ = std::move(handler);
+    give();
+}
+
+void ScriptedDiscovery::watch(std::int64_t revision, Duration, Handler handler)
+{
+    calls.push_back(fmt::format("watch {}", revision));
+    waiting_ = std::move(handler);
+    give();
+}
+
+void ScriptedDiscovery::cancel()
+{
+    waiting_ = nullptr;
+}
+
+void ScriptedDiscovery::publish(DiscoveryReading reading)
+{
+    readings_.push_back(std::move(reading));
+    give();
+}
+
+void ScriptedDiscovery::give()
+{
+    if (!waiting_ || readings_.empty()) {
+        return;
+    }
+    scheduler_.callAt(clock_.now(), [this] {
+        if (!waiting_ || readings_.empty()) {
+            return;
+        }
+        const auto handler = std::move(waiting_);
+        waiting_ = nullptr;
+        const DiscoveryReading reading = std::move(readings_.front());
+        readings_.pop_front();
+        handler(reading);
+    });
+}
+
+FakeTarget::FakeTarget(ManualTime &time, std::string id, unsigned slots)
+    : id(std::move(id))
+    , time_(time)
+    , slots_(slots)
+{
+}
+
+Service::Abandon FakeTarget::handle(ServiceRequest request, ReplyHandler handler)
+{
+    ++arrivals;
+    arrivedAt.push_back(time_.now());
+    timeLeft.emplace_back(std::chrono::milliseconds(std::stoll(headerOf(request.headers, "left"))));
+    const Behaviour now = each ? each(arrivals) : behaviour;
+    if (now == Behaviour::OtherTarget || headerOf(request.headers, "target") != id) {
+        handler({421, "", "", false});
+        return {};
+    }
+    if (now == Behaviour::Shed) {
+        handler({503, "", "", false, {{"not-run", "1"}}});
+        return {};
+    }
+    ++runs[headerOf(request.headers, "id")];
+    if (now == Behaviour::Fail) {
+        handler({500, "", "", false, {{"signature", id}}});
+        return {};
+    }
+    if (now == Behaviour::Crash) {
+        crash();
+        return {};
+    }
+    const std::uint64_t number = ++last_;
+    if (now == Behaviour::Answer) {
+        work_[number] = {std::move(handler), work};
+        if (busy_ < slots_) {
+            begin(number);
+        } else {
+            queue_.push_back(number);
+        }
+    }
+    return [this, number] {
+        ++abandoned;
+        work_.erase(number);
+    };
+}
+
+void FakeTarget::begin(std::uint64_t number)
+{
+    ++busy_;
+    time_.callAt(time_.now() + work_.at(number).duration, [this, number] {
+        const auto found = work_.extract(number);
+        if (!found.empty()) {
+            // Two records of 16 bytes, the lesser one first.
+            found.mapped().handler({200, "", std::string(16, 'a') + std::string(16, id.back()), false, {{"signature", id}}});
+        }
+        --busy_;
+        while (!queue_.empty() && busy_ < slots_) {
+            const std::uint64_t next = queue_.front();
+            queue_.pop_front();
+            if (work_.contains(next)) {
+                begin(next);
+            }
+        }
+    });
+}
+
+std::string CallerAnswer::header(std::string_view name) const
+{
+    return headerOf(headers, name);
+}
+
+ForwardFixture::ForwardFixture()
+{
+    limits.hosts = 1;
+    limits.extraSendRatio = 0.2;
+    limits.extraSendSlack = 10;
+    limits.coldFactor = 1.5;
+    limits.coldSlack = 5;
+}
+
+FakeTarget &ForwardFixture::addTarget(const std::string &id, const TargetPlace &place)
+{
+    auto target = std::make_unique<FakeTarget>(time, id, place.slots);
+    TargetEntry entry;
+    entry.id = id;
+    entry.service = place.service;
+    entry.address = {"10.0.0.1", ++lastPort_};
+    entry.zone = place.zone;
+    entry.slots = place.slots;
+    entry.startedAt = 1;
+    Node node;
+    node.name = id;
+    node.service = target.get();
+    node.time = &targetTime;
+    node.zone = place.zone;
+    network.place(entry.address.toString(), node);
+    if (place.zone != "here") {
+        network.link("host", id).delay = awayDelay;
+    }
+    target->crash = [this, address = entry.address.toString()] { network.remove(address); };
+    entries_[id] = entry;
+    return *(targets[id] = std::move(target));
+}
+
+std::vector<std::string> ForwardFixture::addShards(const std::string &prefix, unsigned shards, unsigned replicas)
+{
+    std::vector<std::string> names;
+    for (unsigned shard = 0; shard < shards; ++shard) {
+        names.push_back(fmt::format("{}{}", prefix, shard));
+        for (unsigned replica = 0; replica < replicas; ++replica) {
+            addTarget(fmt::format("{}-{}", names.back(), replica), {names.back(), replica == 0 ? "here" : "there"});
+        }
+    }
+    return names;
+}
+
+TargetEntry ForwardFixture::entryOf(const std::string &id) const
+{
+    return entries_.at(id);
+}
+
+void ForwardFixture::startHost()
+{
+    ForwardSettings settings;
+    settings.host = "host";
+    settings.zone = "here";
+    settings.regionOfZone = {{"here", "home"}, {"there", "away"}};
+    settings.shutdownAnnounce = std::chrono::seconds(2);
+    settings.shutdownLimit = std::chrono::seconds(5);
+    settings.journalLines = 1'000;
+    settings.limits = limits;
+    host = std::make_unique<ForwardHost>(
+        ForwardHostEnvironment{process, process, transport, discovery, codec, [this](std::string_view line) { log.emplace_back(line); }, 1},
+        settings);
+    host->start();
+}
+
+void ForwardFixture::publish(std::vector<Route> routes, std::int64_t version)
+{
+    if (!host) {
+        startHost();
+    }
+    std::set<std::string> known;
+    for (const ServiceSpec &service : services) {
+        known.insert(service.name);
+    }
+    DiscoveryReading reading;
+    for (const auto &[id, entry] : entries_) {
+        if (known.insert(entry.service).second) {
+            services.push_back({entry.service, 60, std::chrono::seconds(3), 0});
+        }
+        reading.changes.emplace_back(TargetPublished{entry});
+    }
+    reading.changes.emplace_back(TablePublished{std::make_shared<RoutingTable>(version, std::move(routes), services, ListenerLimits{})});
+    reading.revision = ++revision_;
+    discovery.publish(std::move(reading));
+    run(std::chrono::milliseconds(400));
+}
+
+void ForwardFixture::change(std::vector<DiscoveryChange> changes)
+{
+    DiscoveryReading reading;
+    reading.changes = std::move(changes);
+    reading.revision = ++revision_;
+    discovery.publish(std::move(reading));
+    run(std::chrono::milliseconds(1));
+}
+
+std::shared_ptr<CallerAnswer> ForwardFixture::call(const std::string &route, Duration patience, const std::string &method)
+{
+    const auto answer = std::make_shared<CallerAnswer>();
+    const TimePoint start = time.now();
+    ServiceRequest request;
+    request.method = method;
+    request.target = "/" + route + "/x";
+    request.headers = {{"host", "h"},
+                       {"id", fmt::format("r{}", ++lastRequest_)},
+                       {"left", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(patience).count())}};
+    abandons_[answer.get()] = host->callers().handle(std::move(request), [this, answer, start](const ServiceReply &reply) {
+        answer->status = reply.status;
+        answer->headers = reply.headers;
+        answer->body = reply.body;
+        answer->took = time.now() - start;
+    });
+    return answer;
+}
+
+void ForwardFixture::leave(const std::shared_ptr<CallerAnswer> &answer)
+{
+    abandons_.at(answer.get())();
+}
+
+void ForwardFixture::run(Duration duration)
+{
+    time.runUntil(time.now() + duration);
+}
+
+Route ForwardFixture::route(const std::string &name, Destination destination, Repeatability repeatability)
+{
+    Route route;
+    route.name = name;
+    route.host = "h";
+    route.prefix = "/" + name + "/";
+    route.repeatability = repeatability;
+    route.timeout = std::chrono::seconds(2);
+    route.latencyGoal = std::chrono::milliseconds(100);
+    route.maxTargets = 2;
+    route.destination = std::move(destination);
+    return route;
+}
+
+unsigned ForwardFixture::arrivals() const
+{
+    unsigned count = 0;
+    for (const auto &[id, target] : targets) {
+        count += target->arrivals;
+    }
+    return count;
+}
+
+} // namespace magnoliaspan::testing
--- /dev/null
+++ b/tests/unit/ForwardFixture.h
@@ -0,0 +1,162 @@
+/*
+ * Unit tests: one forwarding host over fake targets on the manual clock, without any wire format.
+ */
+#pragma once
+
+#include "app/ForwardHost.h"
+#include "scenario/FakeNetwork.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace magnoliaspan::testing {
+
+/// Header names of the tests' own.
+class PlainCodec : public ForwardCodec
+{
+public:
+    ForwardRequest decodeRequest(ServiceRequest request) const override;
+    WireRequest encodeRequest(const ForwardRequest &request, std::string_view targetId, Duration timeLeft) const override;
+    TargetAnswer decodeAnswer(WireReply reply) const override;
+    ServiceReply encodeMerged(std::span<const std::string> signatures, std::size_t missing, std::string body) const override;
+};
+
+/// Gives out readings that a test has prepared; a watch waits for the next one.
+class ScriptedDiscovery : public DiscoverySource
+{
+public:
+    explicit ScriptedDiscovery(Scheduler &scheduler, const Clock &clock);
+
+    void readAll(Freshness freshness, Handler handler) override;
+    void watch(std::int64_t revision, Duration wait, Handler handler) override;
+    void cancel() override;
+
+    /// Ends the running or next call of either kind with \p reading.
+    void publish(DiscoveryReading reading);
+
+    std::vector<std::string> calls; ///< "all latest", "all old" and "watch REVISION", in order.
+
+private:
+    void give();
+
+    Scheduler &scheduler_;
+    const Clock &clock_;
+    Handler waiting_;
+    std::deque<DiscoveryReading> readings_;
+};
+
+/// How a fake target treats requests.
+enum class Behaviour { Answer, Shed, Fail, Silent, OtherTarget, Crash };
+
+/// A target that works on several requests at once and queues the others.
+class FakeTarget : public Service
+{
+public:
+    FakeTarget(ManualTime &time, std::string id, unsigned slots);
+
+    Abandon handle(ServiceRequest request, ReplyHandler handler) override;
+
+    std::string id;
+    Behaviour behaviour = Behaviour::Answer;
+    Duration work = std::chrono::milliseconds(15);
+    std::function<Behaviour(unsigned arrival)> each; ///< Overrides behaviour for each arrival when set.
+    std::function<void()> crash;                     ///< What Crash does.
+    unsigned arrivals = 0;
+    unsigned abandoned = 0;
+    std::map<std::string, unsigned> runs; ///< By request id.
+    std::vector<TimePoint> arrivedAt;
+    std::vector<Duration> timeLeft; ///< As told by the host.
+
+private:
+    struct Work {
+        ReplyHandler handler;
+        Duration duration;
+    };
+    void begin(std::uint64_t number);
+
+    ManualTime &time_;
+    unsigned slots_;
+    unsigned busy_ = 0;
+    std::uint64_t last_ = 0;
+    std::map<std::uint64_t, Work> work_;
+    std::deque<std::uint64_t> queue_;
+};
+
+/// What a caller got.
+struct CallerAnswer {
+    unsigned status = 0; ///< Zero until it came.
+    std::vector<WireHeader> headers;
+    std::string body;
+    Duration took{};
+
+    std::string header(std::string_view name) const;
+};
+
+/// Where a target stands.
+struct TargetPlace {
+    std::string service;
+    std::string zone;
+    unsigned slots = 3;
+};
+
+/// One host in zone "here" of region "home"; "there" of region "away" is 12 ms off.
+class ForwardFixture
+{
+public:
+    ForwardFixture();
+
+    /// Lists a target and makes it reachable.
+    FakeTarget &addTarget(const std::string &id, const TargetPlace &place);
+
+    /// Adds \p count targets to each of the services \p prefix0 and so on, one here, one there, by turns.
+    std::vector<std::string> addShards(const std::string &prefix, unsigned shards, unsigned replicas);
+
+    /// Publishes all targets and \p routes as one table of \p version, and waits until it is in force.
+    void publish(std::vector<Route> routes, std::int64_t version = 1);
+
+    /// Publishes changes.
+    void change(std::vector<DiscoveryChange> changes);
+
+    TargetEntry entryOf(const std::string &id) const;
+
+    /// Sends one request to host "h", path "/" + \p route + "/x".
+    std::shared_ptr<CallerAnswer> call(const std::string &route, Duration patience = std::chrono::seconds(2), const std::string &method = "GET");
+
+    /// The caller of \p answer closes its connection.
+    void leave(const std::shared_ptr<CallerAnswer> &answer);
+
+    void run(Duration duration);
+
+    /// \returns a route named \p name with path prefix "/NAME/".
+    static Route route(const std::string &name, Destination destination, Repeatability repeatability = Repeatability::Idempotent);
+
+    unsigned arrivals() const;
+
+    ManualTime time;
+    ProcessTime process{time, {}};
+    FakeNetwork network{time};
+    FakeTransport transport{network, process, "host", "here"};
+    ProcessTime targetTime{time, {}};
+    PlainCodec codec;
+    ScriptedDiscovery discovery{process, process};
+    std::vector<std::string> log;
+    ForwardLimits limits;
+    std::map<std::string, std::unique_ptr<FakeTarget>> targets;
+    std::unique_ptr<ForwardHost> host; ///< Made by the first publish().
+    std::vector<ServiceSpec> services;
+
+private:
+    void startHost();
+
+    std::map<std::string, TargetEntry> entries_;
+    std::map<CallerAnswer *, Service::Abandon> abandons_;
+    std::uint16_t lastPort_ = 1'000;
+    unsigned lastRequest_ = 0;
+    std::int64_t revision_ = 0;
+};
+
+} // namespace magnoliaspan::testing
