--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -30,6 +30,14 @@
 constexpr Duration freshIdle = std::chrono::seconds(2);
 constexpr Duration keepAliveGuard = std::chrono::milliseconds(500);
 constexpr Duration longestIdle = std::chrono::seconds(10);
+// Targets reset connections beyond those that they take; a host's dead ones end at the targets' idle timeout.
+constexpr Duration firstNoConnects = std::chrono::milliseconds(100);
+constexpr Duration maxNoConnects = std::chrono::seconds(1);
+// Reading and working on a request takes a target longer than this beyond a round trip.
+constexpr Duration turnAwaySlack = std::chrono::milliseconds(2);
+// Connections beyond the first are kept only while there is work for them: when this host loses power, the target counts
+// them until its own idle timeout.
+constexpr Duration spareIdle = std::chrono::seconds(1);
 // Without news for this long a replica is tried by one request at a time.
 constexpr Duration staleAfter = std::chrono::seconds(1);
 
@@ -46,6 +54,8 @@
         return "other_target";
     case SendEnd::NeverSent:
         return "never_sent";
+    case SendEnd::TurnedAway:
+        return "turned_away";
     case SendEnd::Lost:
         break;
     }
@@ -129,12 +139,12 @@
 
 bool Replica::unreachable() const
 {
-    return environment_.clock.now() < unreachableUntil_;
+    return environment_.clock.now() < reachableAgainAt();
 }
 
 TimePoint Replica::reachableAgainAt() const
 {
-    return unreachableUntil_;
+    return lines_.empty() ? std::max(unreachableUntil_, noConnectsUntil_) : unreachableUntil_;
 }
 
 Duration Replica::expected(const std::string &workKind, Duration usual) const
@@ -232,6 +242,7 @@
 {
     const ConnectionId id{++lastLine_};
     Line &line = lines_[id];
+    line.openedAt = environment_.clock.now();
     const auto alive = std::weak_ptr<int>(alive_);
     line.timer = environment_.scheduler.callAt(environment_.clock.now() + connectTime, [this, alive, id] {
         if (!alive.expired()) {
@@ -284,6 +295,7 @@
     }
     connectFailures_ = 0;
     line.connecting = false;
+    line.connectTook = environment_.clock.now() - line.openedAt;
     lineFree(id);
 }
 
@@ -325,6 +337,14 @@
     SendResult result;
     result.elapsed = environment_.clock.now() - *running->second.sentAt;
     judge(running->second, result, std::move(reply));
+    const Line &line = found->second;
+    if (result.end == SendEnd::Lost && line.fresh && result.elapsed <= line.connectTook + turnAwaySlack) {
+        result.end = SendEnd::TurnedAway;
+        turnedAway();
+    } else if (result.end == SendEnd::Lost) {
+        failed("connection lost");
+    }
+    found->second.fresh = found->second.fresh && broken;
     found->second.send = SendId::None;
     found->second.keepAlive = result.answer.keepAlive.value_or(Duration::zero());
     if (broken || result.answer.closes || ended_) {
@@ -340,9 +360,6 @@
     const TimePoint now = environment_.clock.now();
     if (reply.error) {
         result.end = reply.bytesSent ? SendEnd::Lost : SendEnd::NeverSent;
-        if (reply.bytesSent) {
-            failed(reply.error.message());
-        }
         return;
     }
     lastHeard_ = now;
@@ -364,9 +381,27 @@
     latency_[send.order.workKind].add(result.elapsed, now);
 }
 
+void Replica::turnedAway()
+{
+    const unsigned doublings = std::min(turnedAway_, maxDoublings);
+    ++turnedAway_;
+    noConnectsUntil_ = environment_.clock.now() + std::min(maxNoConnects, firstNoConnects * (1U << doublings));
+    environment_.counters.add("magnoliaspan_target_turn_aways_total");
+    if (turnedAway_ == 1) {
+        environment_.journal.note(
+            Part::Target, "", fmt::format("target takes no more connections target={} own={}", entry_.id, lines_.size() - 1));
+    }
+}
+
+bool Replica::mayOpen() const
+{
+    return lines_.size() < limits_.connections && environment_.clock.now() >= noConnectsUntil_;
+}
+
 void Replica::succeeded()
 {
     const TimePoint now = environment_.clock.now();
+    turnedAway_ = 0;
     if (coldUnknown_) {
         // It may have started just now, and its entry has not said so yet.
         coldUnknown_ = false;
@@ -405,7 +440,7 @@
 {
     const auto connecting = static_cast<std::size_t>(
         std::count_if(lines_.begin(), lines_.end(), [](const auto &entry) { return entry.second.connecting; }));
-    if (connecting < queue_.size() && lines_.size() < limits_.connections) {
+    if (connecting < queue_.size() && mayOpen()) {
         open();
     }
 }
@@ -509,12 +544,14 @@
 void Replica::closeIdle()
 {
     const TimePoint now = environment_.clock.now();
+    serveQueue();
     std::vector<ConnectionId> old;
     for (const auto &[id, line] : lines_) {
         if (line.connecting || line.send != SendId::None) {
             continue;
         }
-        const Duration limit = line.keepAlive > Duration::zero() ? std::min(longestIdle, line.keepAlive - keepAliveGuard) : longestIdle;
+        const Duration longest = lines_.size() - old.size() > 1 ? spareIdle : longestIdle;
+        const Duration limit = line.keepAlive > Duration::zero() ? std::min(longest, line.keepAlive - keepAliveGuard) : longest;
         if (now - line.idleSince > limit) {
             old.push_back(id);
         }
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -30,6 +30,7 @@
     NotRun,      ///< The target says that it did not run it.
     OtherTarget, ///< Another target has the address; it did not run it.
     NeverSent,   ///< No byte left this host.
+    TurnedAway,  ///< A new connection was reset before the target can have read the request; a guess, not a promise.
     Lost,        ///< It may have run: no whole answer, or bytes that are none.
 };
 
@@ -134,6 +135,9 @@
         std::unique_ptr<Connection> connection;
         bool connecting = true;
         SendId send = SendId::None; // The one that it carries, or is opened for.
+        TimePoint openedAt;
+        Duration connectTook{}; // Once it stands.
+        bool fresh = true;      // Whether no answer ever came on it.
         TimePoint idleSince;
         Duration keepAlive;
         TimerId timer = TimerId::None; // Bounds the time to connect.
@@ -149,6 +153,8 @@
     void closed(ConnectionId id);
     void close(ConnectionId id);
     void makeRoom();
+    bool mayOpen() const;
+    void turnedAway();
     void serveQueue();
     void finish(SendId id, SendResult result);
     void connectFailed();
@@ -169,6 +175,8 @@
     double coldTokens_ = 0;
     TimePoint coldTokensAt_{};
     bool ended_ = false;
+    TimePoint noConnectsUntil_{};  // The target has as many connections as it takes.
+    unsigned turnedAway_ = 0;      // New connections that it reset, in a row.
     unsigned connectFailures_ = 0; // In a row.
     TimePoint unreachableUntil_{};
     unsigned failures_ = 0; // In a row.
--- a/src/forward/ReplicaController.cpp
+++ b/src/forward/ReplicaController.cpp
@@ -11,10 +11,11 @@
 namespace {
 
 // Replicas of one service stand in several regions, so that most connections are made by the few hosts of their own:
-// a fifth for each of these and a fifteenth for each of the others add up to less than the whole on seven hosts.
-constexpr unsigned localConnectionParts = 5;
-constexpr unsigned remoteConnectionParts = 15;
-constexpr unsigned leastConnections = 2;
+// an eighth for each of four and a twentieth for each of six others stay below the whole.
+constexpr unsigned localConnectionParts = 8;
+constexpr unsigned remoteConnectionParts = 20;
+constexpr unsigned leastLocalConnections = 2;
+constexpr unsigned leastRemoteConnections = 1;
 // Draining targets serve on for three seconds or more; they are a last resort for the first of these.
 constexpr Duration drainingUse = std::chrono::seconds(1);
 constexpr Duration firstUsual = std::chrono::milliseconds(15);
@@ -63,8 +64,8 @@
     if (service == nullptr) {
         return result;
     }
-    const unsigned parts = result.otherRegion ? remoteConnectionParts : localConnectionParts;
-    result.connections = std::max(leastConnections, service->maxConnections / parts);
+    result.connections = result.otherRegion ? std::max(leastRemoteConnections, service->maxConnections / remoteConnectionParts)
+                                            : std::max(leastLocalConnections, service->maxConnections / localConnectionParts);
     result.warmUp = service->warmUp;
     result.coldPerSecond = (service->coldRequestsPerSecond * limits_.coldFactor + limits_.coldSlack) / std::max(1U, limits_.hosts);
     return result;
--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -57,7 +57,7 @@
     if (failure_) {
         return Verdict::Ran;
     }
-    return mayHaveRun_ > 0 ? Verdict::MayHaveRun : Verdict::NotRun;
+    return mayHaveRun_ > 0 || turnedAway_ ? Verdict::MayHaveRun : Verdict::NotRun;
 }
 
 bool ShardCall::offered() const
@@ -116,7 +116,7 @@
     const bool repeatable = context_->route->repeatability == Repeatability::Idempotent;
     const auto running = static_cast<unsigned>(running_.size());
     if (!repeatable) {
-        return mayHaveRun_ + running == 0 && refused_ <= maxRefusals;
+        return mayHaveRun_ + running == 0 && !turnedAway_ && refused_ <= maxRefusals;
     }
     return mayHaveRun_ + running < context_->route->maxTargets && refused_ <= maxRefusals;
 }
@@ -179,7 +179,11 @@
     const Attempt attempt = *found;
     running_.erase(found);
     const bool left = result.end != SendEnd::NeverSent;
-    arrivals_ = std::max(arrivals_, left ? 1U : 0U);
+    if (result.end == SendEnd::TurnedAway) {
+        arrivals_ -= std::min(arrivals_, 1U);
+    } else if (left) {
+        arrivals_ = std::max(arrivals_, 1U);
+    }
     if (result.end == SendEnd::Answered && isGood(result.answer)) {
         replicas_.observe(context_->route->name, attempt.replica->limits().otherRegion, result.elapsed);
         finish({true, std::move(result.answer), Verdict::Ran, ""});
@@ -195,6 +199,8 @@
     if (result.end == SendEnd::Answered || result.end == SendEnd::Lost) {
         ++mayHaveRun_;
     } else if (left) {
+        // A guess that it has not run allows another try, but no promise.
+        turnedAway_ = turnedAway_ || result.end == SendEnd::TurnedAway;
         ++refused_;
     }
     afterFailure();
--- a/src/forward/ShardCall.h
+++ b/src/forward/ShardCall.h
@@ -93,6 +93,7 @@
     std::vector<std::string> tried_; // Targets.
     unsigned mayHaveRun_ = 0;        // Targets at which it ran or may have run or still may.
     unsigned refused_ = 0;           // Targets that said that they did not run it.
+    bool turnedAway_ = false;        // Whether a new connection was reset under it.
     unsigned arrivals_ = 0;          // Sends of which a byte has left this host.
     unsigned sends_ = 0;
     std::optional<TargetAnswer> failure_; // The last answer that was not good.
