--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -35,6 +35,9 @@
 constexpr Duration maxNoConnects = std::chrono::seconds(1);
 // Reading and working on a request takes a target longer than this beyond a round trip.
 constexpr Duration turnAwaySlack = std::chrono::milliseconds(2);
+// A host that has just started may follow one that lost power, and share the target's connections with its dead ones.
+constexpr unsigned firstLocalLines = 2;
+constexpr unsigned firstRemoteLines = 1;
 // Connections beyond the first are kept only while there is work for them: when this host loses power, the target counts
 // them until its own idle timeout.
 constexpr Duration spareIdle = std::chrono::seconds(1);
@@ -66,6 +69,7 @@
     : environment_(environment)
     , entry_(std::move(entry))
     , limits_(limits)
+    , allowedLines_(limits.otherRegion ? firstRemoteLines : firstLocalLines)
     , coldUntil_(environment.clock.now() + entry_.coldLeft)
     , alive_(std::make_shared<int>(0))
 {
@@ -227,7 +231,7 @@
 // Idle connections that a send may not use must not keep it from opening one.
 void Replica::makeRoom()
 {
-    if (lines_.size() < limits_.connections) {
+    if (mayOpen()) {
         return;
     }
     for (const auto &[id, line] : lines_) {
@@ -344,7 +348,10 @@
     } else if (result.end == SendEnd::Lost) {
         failed("connection lost");
     }
-    found->second.fresh = found->second.fresh && broken;
+    if (line.fresh && !broken) {
+        found->second.fresh = false;
+        ++allowedLines_;
+    }
     found->second.send = SendId::None;
     found->second.keepAlive = result.answer.keepAlive.value_or(Duration::zero());
     if (broken || result.answer.closes || ended_) {
@@ -385,6 +392,7 @@
 {
     const unsigned doublings = std::min(turnedAway_, maxDoublings);
     ++turnedAway_;
+    allowedLines_ = std::max(1U, static_cast<unsigned>(lines_.size()) - 1);
     noConnectsUntil_ = environment_.clock.now() + std::min(maxNoConnects, firstNoConnects * (1U << doublings));
     environment_.counters.add("magnoliaspan_target_turn_aways_total");
     if (turnedAway_ == 1) {
@@ -395,7 +403,7 @@
 
 bool Replica::mayOpen() const
 {
-    return lines_.size() < limits_.connections && environment_.clock.now() >= noConnectsUntil_;
+    return lines_.size() < std::min(limits_.connections, allowedLines_) && environment_.clock.now() >= noConnectsUntil_;
 }
 
 void Replica::succeeded()
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -170,6 +170,7 @@
     std::deque<SendId> queue_; // Invariant: sends without a connection, oldest first.
     std::uint64_t lastSend_ = 0;
     std::uint64_t lastLine_ = 0;
+    unsigned allowedLines_;        // Grows with each new connection that works, shrinks when one is turned away.
     TimePoint coldUntil_{};
     bool coldUnknown_ = false; // Connects failed since the last sign of life; it may have started again.
     double coldTokens_ = 0;
--- a/src/forward/ReplicaController.cpp
+++ b/src/forward/ReplicaController.cpp
@@ -11,11 +11,11 @@
 namespace {
 
 // Replicas of one service stand in several regions, so that most connections are made by the few hosts of their own:
-// an eighth for each of four and a twentieth for each of six others stay below the whole.
-constexpr unsigned localConnectionParts = 8;
-constexpr unsigned remoteConnectionParts = 20;
+// a fifth for each of these and a tenth for each of the others. A host takes them up one by one while the target lets it.
+constexpr unsigned localConnectionParts = 5;
+constexpr unsigned remoteConnectionParts = 10;
 constexpr unsigned leastLocalConnections = 2;
-constexpr unsigned leastRemoteConnections = 1;
+constexpr unsigned leastRemoteConnections = 2;
 // Draining targets serve on for three seconds or more; they are a last resort for the first of these.
 constexpr Duration drainingUse = std::chrono::seconds(1);
 constexpr Duration firstUsual = std::chrono::milliseconds(15);
--- a/tests/unit/ForwardTest.cpp
+++ b/tests/unit/ForwardTest.cpp
@@ -331,6 +331,41 @@
     CHECK(dark.arrivals == 0);
 }
 
+TEST_CASE("forward: pattern dead connections after a loss of power, a reset new connection sends work elsewhere")
+{
+    ForwardFixture fixture;
+    FakeTarget &full = fixture.addTarget("t1", {"s", "here"});
+    fixture.addTarget("t2", {"s", "there"});
+    fixture.network.link("host", "t1").losesRequests = true;
+    const auto publish = [&fixture](Repeatability repeatability) {
+        fixture.publish({ForwardFixture::route("a", ToService{"s"}, repeatability)});
+    };
+    SECTION("work that may be repeated is served elsewhere, and the target is left alone for a while")
+    {
+        publish(Repeatability::Idempotent);
+        for (int request = 0; request < 5; ++request) {
+            const auto answer = fixture.call("a");
+            fixture.run(milliseconds(80));
+            CHECK(answer->status == 200);
+        }
+        CHECK(full.arrivals == 0);
+        CHECK(logged(fixture, "target takes no more connections"));
+        fixture.network.link("host", "t1").losesRequests = false;
+        fixture.run(seconds(2));
+        fixture.call("a");
+        fixture.run(milliseconds(80));
+        CHECK(full.arrivals == 1);
+    }
+    SECTION("work that must not be repeated may have run: 502, and nowhere else")
+    {
+        publish(Repeatability::NonIdempotent);
+        const auto answer = fixture.call("a", seconds(2), "POST");
+        fixture.run(milliseconds(80));
+        CHECK(answer->status == 502);
+        CHECK(fixture.arrivals() == 0);
+    }
+}
+
 TEST_CASE("forward: pattern cold replica, it gets no work while a warm one lives")
 {
     ForwardFixture fixture;
