The pausing replica's test begins with both replicas connected

Cause: the case asked for 100 ms with a new connection to another region (24 ms), slow start of connections included; the pattern it names is the pause. Its bounds stay.

--- a/tests/unit/ForwardTest.cpp
+++ b/tests/unit/ForwardTest.cpp
@@ -252,9 +252,17 @@
     fixture.addTarget("t1", {"s", "here", 8});
     fixture.addTarget("t2", {"s", "there", 8});
     fixture.publish({ForwardFixture::route("a", ToShards{{"s"}, 5, 1})});
-    for (int request = 0; request < 20; ++request) {
-        fixture.call("a");
-        fixture.run(milliseconds(20));
+    // Both replicas are known and connected.
+    for (const char *away : {"t1", "t2"}) {
+        TargetEntry entry = fixture.entryOf(away);
+        entry.stage = TargetStage::Draining;
+        fixture.change({TargetPublished{entry}});
+        for (int request = 0; request < 20; ++request) {
+            fixture.call("a");
+            fixture.run(milliseconds(20));
+        }
+        fixture.change({TargetPublished{fixture.entryOf(away)}});
+        fixture.run(milliseconds(400));
     }
     const unsigned before = fixture.targets["t2"]->arrivals;
     fixture.targets["t1"]->each = [&fixture](unsigned) {
