A call without a target waits for one while its answer may be of full use

Change: a send that waits stays where it is unless another replica takes it; a call without a target tries again every 15 ms, 40 ms after a refusal, until the goal; a single request that ran nowhere is refused within a quarter of its goal.

--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -17,6 +17,12 @@
 constexpr unsigned maxRefusals = 2;
 // A send of work that must not run twice moves to another target when no connection stands after this time.
 constexpr Duration unsentLimit = std::chrono::milliseconds(150);
+// A refusal is of full use to the caller within the first quarter of its latency goal.
+constexpr int refusalParts = 4;
+// Several times within the shortest latency goals, and no busy loop.
+constexpr Duration parkInterval = std::chrono::milliseconds(15);
+// A target that sheds has slots free again within some requests' time.
+constexpr Duration refusalInterval = std::chrono::milliseconds(40);
 // The way back to the caller and the merge.
 constexpr Duration goalReserve = std::chrono::milliseconds(12);
 
@@ -43,7 +49,7 @@
     handler_ = std::move(handler);
     replicas_.extraSends(service_).earn();
     if (!sendNext(Reason::First)) {
-        finish({false, std::nullopt, Verdict::NotRun, "no target can be used"});
+        afterFailure();
     }
 }
 
@@ -153,12 +159,7 @@
     }
     const Attempt first = running_.front();
     if (first.replica->waiting(first.send)) {
-        // It waits for a connection: another replica costs nothing.
-        first.replica->abandon(first.send);
-        running_.clear();
-        cause_ = "no connection in time";
-        note("send given up before it left", first, cause_);
-        afterFailure();
+        moveWaiting(first);
         return;
     }
     arrivals_ = std::max(arrivals_, 1U);
@@ -169,6 +170,21 @@
     sendNext(Reason::Late);
 }
 
+// A send that waits for a connection may move to another replica at no cost; without another it goes on waiting.
+void ShardCall::moveWaiting(const Attempt &first)
+{
+    running_.clear();
+    cause_ = "no connection in time";
+    if (!sendNext(Reason::Failed)) {
+        running_.push_back(first);
+        return;
+    }
+    note("send given up before it left", first, cause_);
+    first.replica->abandon(first.send);
+    // Nothing speaks against this target but its load.
+    std::erase(tried_, first.replica->entry().id);
+}
+
 void ShardCall::ended(std::uint64_t number, SendResult result)
 {
     const auto found
@@ -202,6 +218,9 @@
         // A guess that it has not run allows another try, but no promise.
         turnedAway_ = turnedAway_ || result.end == SendEnd::TurnedAway;
         ++refused_;
+        if (result.end == SendEnd::NotRun) {
+            refusing_.push_back(attempt.replica->entry().id);
+        }
     }
     afterFailure();
 }
@@ -215,9 +234,48 @@
         arm();
         return;
     }
+    if (mayRunAgain() && park()) {
+        return;
+    }
     finish({false, std::move(failure_), verdict(), cause_});
 }
 
+// Waits for a target to be tried again or for leave to send once more, while the answer may still be of full use.
+bool ShardCall::park()
+{
+    const TimePoint now = environment_.clock.now();
+    const Duration wait = refusing_.empty() ? parkInterval : refusalInterval;
+    for (const std::string &target : refusing_) {
+        std::erase(tried_, target);
+    }
+    refusing_.clear();
+    const auto trial = replicas_.nextTrial(query());
+    const TimePoint retryAt = replicas_.available(query()) ? now + wait : std::max(now + wait, trial.value_or(now));
+    const bool hopeless = !trial && !replicas_.available(query());
+    // A request that ran nowhere is better refused soon, so that its caller can try another host in time.
+    const bool refusable = context_->single && verdict() == Verdict::NotRun;
+    if (refusable && retryAt > context_->goal - context_->route->latencyGoal + context_->route->latencyGoal / refusalParts) {
+        return false;
+    }
+    if (hopeless || retryAt + replicas_.usual(context_->route->name, false) > std::min(context_->goal, context_->deadline)) {
+        return false;
+    }
+    timer_ = environment_.scheduler.callAt(retryAt, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->retryParked();
+        }
+    });
+    return true;
+}
+
+void ShardCall::retryParked()
+{
+    timer_ = TimerId::None;
+    if (handler_) {
+        afterFailure();
+    }
+}
+
 void ShardCall::finish(CallResult result)
 {
     environment_.scheduler.cancel(timer_);
--- a/src/forward/ShardCall.h
+++ b/src/forward/ShardCall.h
@@ -74,6 +74,9 @@
     enum class Reason { First, Late, Failed };
 
     bool sendNext(Reason reason);
+    void moveWaiting(const Attempt &first);
+    bool park();
+    void retryParked();
     bool mayRunAgain() const;
     void arm();
     void secondDue();
@@ -90,14 +93,15 @@
     std::string service_;
     Handler handler_; // Empty once called or stopped.
     std::vector<Attempt> running_;
-    std::vector<std::string> tried_; // Targets.
+    std::vector<std::string> tried_;    // Targets not to be asked now.
+    std::vector<std::string> refusing_; // Of tried_, those that may be asked again after a while.
     unsigned mayHaveRun_ = 0;        // Targets at which it ran or may have run or still may.
     unsigned refused_ = 0;           // Targets that said that they did not run it.
     bool turnedAway_ = false;        // Whether a new connection was reset under it.
     unsigned arrivals_ = 0;          // Sends of which a byte has left this host.
     unsigned sends_ = 0;
     std::optional<TargetAnswer> failure_; // The last answer that was not good.
-    std::string cause_ = "no target";
+    std::string cause_ = "no target can be used";
     TimerId timer_ = TimerId::None;
 };
 
--- a/tests/unit/ForwardTest.cpp
+++ b/tests/unit/ForwardTest.cpp
@@ -301,6 +301,42 @@
     CHECK(fixture.arrivals() > requests);
 }
 
+TEST_CASE("forward: pattern moment of overload, a request that every replica shed is tried again before its goal")
+{
+    ForwardFixture fixture;
+    fixture.limits.extraSendSlack = 100;
+    const TimePoint over = fixture.time.now() + milliseconds(440);
+    for (const char *id : {"t1", "t2"}) {
+        fixture.addTarget(id, {"s", "here"}).each = [&fixture, over](unsigned) {
+            return fixture.time.now() < over ? Behaviour::Shed : Behaviour::Answer;
+        };
+    }
+    fixture.addTarget("t3", {"s", "here"});
+    fixture.network.remove(fixture.entryOf("t3").address.toString());
+    fixture.publish({ForwardFixture::route("a", ToShards{{"s"}, 5, 1})});
+    const auto answer = fixture.call("a");
+    fixture.run(milliseconds(200));
+    CHECK(answer->status == 200);
+    CHECK(answer->took < milliseconds(100));
+}
+
+TEST_CASE("forward: a send that waits for a connection goes on waiting when there is no other replica")
+{
+    ForwardFixture fixture;
+    fixture.limits.extraSendRatio = 0;
+    FakeTarget &target = fixture.addTarget("t1", {"s", "here", 20});
+    target.work = milliseconds(60);
+    fixture.publish({ForwardFixture::route("a", ToShards{{"s"}, 5, 1})});
+    std::vector<std::shared_ptr<CallerAnswer>> answers;
+    for (int request = 0; request < 20; ++request) {
+        answers.push_back(fixture.call("a"));
+    }
+    fixture.run(seconds(1));
+    for (const auto &answer : answers) {
+        CHECK(answer->status == 200);
+    }
+}
+
 TEST_CASE("forward: pattern grey replica, work moves away from one that fails part of its requests")
 {
     ForwardFixture fixture;
