--- a/src/app/ForwardHost.cpp
+++ b/src/app/ForwardHost.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
-constexpr Duration replicaTickInterval = std::chrono::milliseconds(500);
+constexpr Duration replicaTickInterval = std::chrono::milliseconds(200);
 
 } // namespace
 
--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -41,6 +41,11 @@
 // Connections beyond the first are kept only while there is work for them: when this host loses power, the target counts
 // them until its own idle timeout.
 constexpr Duration spareIdle = std::chrono::seconds(1);
+// Beyond this a target works on more than it can bear, or is slow; either way less at once is better.
+constexpr int overloadFactor = 2;
+constexpr Duration overloadSlack = std::chrono::milliseconds(10);
+// A send that waited this long and is late gives way, so that its caller may try another host.
+constexpr Duration longestQueued = std::chrono::milliseconds(600);
 // Without news for this long a replica is tried by one request at a time.
 constexpr Duration staleAfter = std::chrono::seconds(1);
 
@@ -69,6 +74,7 @@
     : environment_(environment)
     , entry_(std::move(entry))
     , limits_(limits)
+    , concurrency_(limits.connections, limits.connections)
     , allowedLines_(limits.otherRegion ? firstRemoteLines : firstLocalLines)
     , coldUntil_(environment.clock.now() + entry_.coldLeft)
     , alive_(std::make_shared<int>(0))
@@ -98,6 +104,7 @@
 void Replica::setLimits(const ReplicaLimits &limits)
 {
     limits_ = limits;
+    concurrency_.setMaximum(limits.connections);
 }
 
 void Replica::update(const TargetEntry &entry)
@@ -217,12 +224,15 @@
     Send &send = sends_[id];
     send.order = std::move(order);
     send.queuedAt = environment_.clock.now();
-    const ConnectionId line = idleLine(repeatable);
+    const ConnectionId line = mayStart() ? idleLine(repeatable) : ConnectionId::None;
     if (line != ConnectionId::None) {
         start(line, id);
         return id;
     }
-    queue_.push_back(id);
+    queue_.push(id, send.queuedAt, send.order.goal);
+    if (!mayStart()) {
+        return id;
+    }
     makeRoom();
     serveQueue();
     return id;
@@ -290,9 +300,7 @@
                                               error.message(),
                                               connectFailures_,
                                               queue_.size()));
-        const auto waiting = std::move(queue_);
-        queue_.clear();
-        for (const SendId send : waiting) {
+        for (const SendId send : queue_.clear()) {
             finish(send, {SendEnd::NeverSent, {}, {}});
         }
         return;
@@ -315,6 +323,7 @@
 {
     Line &line = lines_.at(id);
     Send &send = sends_.at(sendId);
+    send.alone = busyLines() == 0;
     line.send = sendId;
     send.connection = id;
     const TimePoint now = environment_.clock.now();
@@ -381,11 +390,30 @@
     result.end = result.answer.notRun ? SendEnd::NotRun : SendEnd::Answered;
     if (!isGood(result.answer)) {
         failed(result.answer.notRun ? "shed" : "failure answered");
+        if (result.answer.notRun) {
+            concurrency_.shed(now);
+        }
         return;
     }
     succeeded();
-    // A refusal is fast, so that only whole answers tell how long the work takes.
-    latency_[send.order.workKind].add(result.elapsed, now);
+    learnLatency(send, result.elapsed);
+}
+
+// A refusal is fast, so that only whole answers tell how long the work takes.
+void Replica::learnLatency(const Send &send, Duration elapsed)
+{
+    const TimePoint now = environment_.clock.now();
+    LatencyEstimate &unloaded = unloaded_[send.order.workKind];
+    const Duration base = unloaded.expected(elapsed, now);
+    if (elapsed > overloadFactor * base + overloadSlack) {
+        concurrency_.shed(now);
+    } else {
+        concurrency_.succeeded(busyLines() >= concurrency_.current());
+    }
+    if (send.alone) {
+        unloaded.add(elapsed, now);
+    }
+    latency_[send.order.workKind].add(elapsed, now);
 }
 
 void Replica::turnedAway()
@@ -436,19 +464,47 @@
 {
     Line &line = lines_.at(id);
     line.idleSince = environment_.clock.now();
-    if (queue_.empty()) {
+    startQueued(id);
+}
+
+void Replica::startQueued(ConnectionId id)
+{
+    if (!mayStart() || queue_.empty()) {
         return;
     }
-    const SendId next = queue_.front();
-    queue_.pop_front();
-    start(id, next);
+    // Work of several kinds waits here; the one that is served most often tells best what the next takes.
+    Duration expected{};
+    for (const auto &[kind, estimate] : latency_) {
+        expected = std::max(expected, estimate.expected(Duration::zero(), environment_.clock.now()));
+    }
+    if (const auto next = queue_.pop(environment_.clock.now(), expected)) {
+        start(id, *next);
+    }
+}
+
+bool Replica::mayStart() const
+{
+    return busyLines() < concurrency_.current();
+}
+
+unsigned Replica::busyLines() const
+{
+    return static_cast<unsigned>(
+        std::count_if(lines_.begin(), lines_.end(), [](const auto &entry) { return entry.second.send != SendId::None; }));
 }
 
 void Replica::serveQueue()
 {
+    if (queue_.empty()) {
+        return;
+    }
+    const ConnectionId idle = mayStart() ? idleLine(true) : ConnectionId::None;
+    if (idle != ConnectionId::None) {
+        startQueued(idle);
+    }
     const auto connecting = static_cast<std::size_t>(
         std::count_if(lines_.begin(), lines_.end(), [](const auto &entry) { return entry.second.connecting; }));
-    if (connecting < queue_.size() && mayOpen()) {
+    if (connecting < queue_.size() && mayOpen() && mayStart()) {
         open();
     }
 }
@@ -512,7 +568,7 @@
     const ConnectionId line = found->second.connection;
     environment_.scheduler.cancel(found->second.timer);
     sends_.erase(found);
-    std::erase(queue_, id);
+    queue_.erase(id);
     if (line != ConnectionId::None) {
         close(line);
         serveQueue();
@@ -549,9 +605,17 @@
     });
 }
 
+void Replica::expireQueued()
+{
+    for (const SendId send : queue_.expire(environment_.clock.now(), longestQueued)) {
+        finish(send, {SendEnd::NeverSent, {}, {}});
+    }
+}
+
 void Replica::closeIdle()
 {
     const TimePoint now = environment_.clock.now();
+    expireQueued();
     serveQueue();
     std::vector<ConnectionId> old;
     for (const auto &[id, line] : lines_) {
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -6,13 +6,14 @@
  */
 #pragma once
 
+#include "control/ConcurrencyLimit.h"
 #include "discovery/TargetEntry.h"
 #include "forward/ForwardEnvironment.h"
 #include "forward/LatencyEstimate.h"
 #include "forward/ReplicaScore.h"
+#include "forward/SendQueue.h"
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,9 +22,6 @@
 
 namespace magnoliaspan {
 
-/// Identifies a send of one replica; zero names none.
-enum class SendId : std::uint64_t { None = 0 };
-
 /// How a send ended.
 enum class SendEnd {
     Answered,    ///< A whole answer of the right target to this request, good or not.
@@ -48,6 +46,7 @@
 struct SendOrder {
     const ForwardRequest *request = nullptr; ///< Outlives the send.
     std::string workKind;                    ///< Requests of one kind take about the same time.
+    TimePoint goal;                          ///< When the answer loses most of its use.
     TimePoint deadline;                      ///< When the target is to stop work.
     bool repeatable = true;                  ///< Whether it may run again; if not, no connection that idled long is used.
     std::function<void(SendResult)> handler; ///< Called once, never from inside send(), unless the send is dropped.
@@ -126,6 +125,7 @@
         SendOrder order;
         TimePoint queuedAt;
         std::optional<TimePoint> sentAt;
+        bool alone = false; // Whether no other send of this host ran when it was sent.
         ConnectionId connection = ConnectionId::None; // None while it waits for one.
         TimerId timer = TimerId::None;                // Ends a released send.
         bool released = false;
@@ -148,12 +148,17 @@
     void connected(ConnectionId id, std::error_code error);
     void start(ConnectionId id, SendId send);
     void replied(ConnectionId id, WireReply reply);
+    unsigned busyLines() const;
+    void learnLatency(const Send &send, Duration elapsed);
     void judge(Send &send, SendResult &result, WireReply reply);
     void lineFree(ConnectionId id);
     void closed(ConnectionId id);
     void close(ConnectionId id);
     void makeRoom();
     bool mayOpen() const;
+    bool mayStart() const;
+    void expireQueued();
+    void startQueued(ConnectionId id);
     void turnedAway();
     void serveQueue();
     void finish(SendId id, SendResult result);
@@ -164,10 +169,12 @@
     const ForwardEnvironment &environment_;
     TargetEntry entry_;
     ReplicaLimits limits_;
-    std::map<std::string, LatencyEstimate> latency_; // By kind of work.
+    std::map<std::string, LatencyEstimate> latency_;  // By kind of work.
+    std::map<std::string, LatencyEstimate> unloaded_; // The same, of sends that had the replica to themselves.
     std::map<SendId, Send> sends_;
     std::map<ConnectionId, Line> lines_;
-    std::deque<SendId> queue_; // Invariant: sends without a connection, oldest first.
+    SendQueue queue_; // Invariant: sends without a connection.
+    ConcurrencyLimit concurrency_;
     std::uint64_t lastSend_ = 0;
     std::uint64_t lastLine_ = 0;
     unsigned allowedLines_;        // Grows with each new connection that works, shrinks when one is turned away.
--- a/src/forward/ReplicaController.cpp
+++ b/src/forward/ReplicaController.cpp
@@ -240,11 +240,18 @@
     return earliest;
 }
 
-Duration ReplicaController::usual(std::string_view workKind, bool otherRegion) const
+std::optional<Duration> ReplicaController::learned(std::string_view workKind, bool otherRegion) const
 {
     const auto found = usual_.find(fmt::format("{}{}", otherRegion ? '-' : '+', workKind));
-    const Duration first = otherRegion ? firstUsualElsewhere : firstUsual;
-    return found == usual_.end() ? first : found->second.expected(first, environment_.clock.now());
+    if (found == usual_.end()) {
+        return std::nullopt;
+    }
+    return found->second.expected(otherRegion ? firstUsualElsewhere : firstUsual, environment_.clock.now());
+}
+
+Duration ReplicaController::usual(std::string_view workKind, bool otherRegion) const
+{
+    return learned(workKind, otherRegion).value_or(otherRegion ? firstUsualElsewhere : firstUsual);
 }
 
 void ReplicaController::observe(std::string_view workKind, bool otherRegion, Duration latency)
--- a/src/forward/ReplicaController.h
+++ b/src/forward/ReplicaController.h
@@ -61,7 +61,10 @@
     /// \returns when a replica that cannot be reached now is tried again; nothing when there is none.
     std::optional<TimePoint> nextTrial(const ReplicaQuery &query) const;
 
-    /// \returns what an exchange takes in a replica of this region, as learned from all of them.
+    /// \returns what an exchange takes in replicas of this region or of others, nothing before the first answer.
+    std::optional<Duration> learned(std::string_view workKind, bool otherRegion) const;
+
+    /// \returns learned(), or a first guess.
     Duration usual(std::string_view workKind, bool otherRegion) const;
 
     /// \brief Tells of a whole answer of a replica.
--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -102,6 +102,7 @@
     SendOrder order;
     order.request = &context_->request;
     order.workKind = context_->route->name;
+    order.goal = context_->goal;
     order.deadline = context_->deadline;
     order.repeatable = context_->route->repeatability == Repeatability::Idempotent;
     order.handler = [self = shared_from_this(), number = attempt.number](SendResult result) { self->ended(number, std::move(result)); };
