What is served under overload is in time

Change: SendQueue serves first come, first served while all can be in time, else the newest that can; what waited 600 ms and is late gives way; each replica's concurrency falls when answers take twice what they take alone, or are shed. Tests: SendQueueTest, pattern persistent overload of the only replica. Still red: pattern pausing replica, one answer of eight takes 105 ms.

--- a/src/forward/LatencyEstimate.cpp
+++ b/src/forward/LatencyEstimate.cpp
@@ -37,6 +37,11 @@
     return Duration(static_cast<Duration::rep>(toward + (mean_ - toward) * std::exp2(-age / forgetHalfLife)));
 }
 
+std::optional<Duration> LatencyEstimate::mean() const
+{
+    return renewedAt_ ? std::optional(Duration(static_cast<Duration::rep>(mean_))) : std::nullopt;
+}
+
 std::optional<Duration> LatencyEstimate::age(TimePoint now) const
 {
     if (!renewedAt_) {
--- a/src/forward/LatencyEstimate.h
+++ b/src/forward/LatencyEstimate.h
@@ -20,6 +20,9 @@
     /// \returns the expectation at \p now; \p usual before the first observation.
     Duration expected(Duration usual, TimePoint now) const;
 
+    /// \returns the mean itself, nothing before the first observation.
+    std::optional<Duration> mean() const;
+
     /// \returns the time since the last observation, nothing before the first.
     std::optional<Duration> age(TimePoint now) const;
 
--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -404,7 +404,7 @@
 {
     const TimePoint now = environment_.clock.now();
     LatencyEstimate &unloaded = unloaded_[send.order.workKind];
-    const Duration base = unloaded.expected(elapsed, now);
+    const Duration base = unloaded.mean().value_or(elapsed);
     if (elapsed > overloadFactor * base + overloadSlack) {
         concurrency_.shed(now);
     } else {
@@ -472,10 +472,10 @@
     if (!mayStart() || queue_.empty()) {
         return;
     }
-    // Work of several kinds waits here; the one that is served most often tells best what the next takes.
+    // Several kinds of work wait here. Their loaded latencies would make everything look late under overload.
     Duration expected{};
-    for (const auto &[kind, estimate] : latency_) {
-        expected = std::max(expected, estimate.expected(Duration::zero(), environment_.clock.now()));
+    for (const auto &[kind, estimate] : unloaded_) {
+        expected = std::max(expected, estimate.mean().value_or(Duration::zero()));
     }
     if (const auto next = queue_.pop(environment_.clock.now(), expected)) {
         start(id, *next);
