The queue keeps no reserve

Cause: a send that could just be in time was passed over (pattern pausing replica: 105 ms for a goal of 100). Change: in time means that the expected end lies before the goal.

--- a/src/forward/SendQueue.cpp
+++ b/src/forward/SendQueue.cpp
@@ -17,8 +17,7 @@
     if (entries_.empty()) {
         return std::nullopt;
     }
-    // Work that takes longer than expected is common: a quarter of it is kept as a reserve.
-    const auto inTime = [now, expected](const Entry &entry) { return now + expected + expected / 4 <= entry.goal; };
+    const auto inTime = [now, expected](const Entry &entry) { return now + expected <= entry.goal; };
     auto chosen = entries_.begin();
     if (!inTime(*chosen)) {
         const auto newest = std::find_if(entries_.rbegin(), entries_.rend(), inTime);
