--- a/src/app/ForwardCommand.cpp
+++ b/src/app/ForwardCommand.cpp
@@ -68,7 +68,9 @@
         , discovery_(platform::makeDiscovery(clock_, loop_, transport_, settings.discoveryAddress))
         , host_({clock_, loop_, transport_, *discovery_, *codec_, [this](std::string_view line) { logger_.info(line); }, seed()}, settings)
         , ready_([this] { return readiness(host_); })
-        , metrics_([this] { return ServiceReply{200, "text/plain; version=0.0.4", metricsText()}; })
+        , metrics_([this] {
+            return ServiceReply{200, "text/plain; version=0.0.4", metricsText()};
+        })
         , callerServer_(loop_, host_.callers(), {})
         , readyServer_(loop_, ready_, {})
         , metricsServer_(loop_, metrics_, {})
--- a/src/app/ForwardHost.cpp
+++ b/src/app/ForwardHost.cpp
@@ -25,7 +25,13 @@
     , registry_(environment.clock, journal_)
     , environment_{environment.clock, environment.scheduler, environment.transport, journal_, counters_, environment.codec}
     , replicas_(environment_, registry_, {settings_.zone, settings_.regionOfZone}, settings_.limits)
-    , discovery_(environment.clock, environment.scheduler, journal_, environment.discovery, registry_, environment.seed)
+    , discovery_(environment.clock,
+                 environment.scheduler,
+                 journal_,
+                 environment.discovery,
+                 registry_,
+                 settings_.watchTime,
+                 environment.seed)
     , callers_(environment_, registry_, replicas_, active_, environment.seed + 1)
 {
     connectRegistry();
@@ -54,7 +60,8 @@
 
 void ForwardHost::start()
 {
-    journal_.note(Part::Shutdown, "", fmt::format("host started host={} zone={} hosts={}", settings_.host, settings_.zone, settings_.limits.hosts));
+    journal_.note(
+        Part::Shutdown, "", fmt::format("host started host={} zone={} hosts={}", settings_.host, settings_.zone, settings_.limits.hosts));
     discovery_.start();
     scheduleTick();
 }
--- a/src/config/ForwardSettings.cpp
+++ b/src/config/ForwardSettings.cpp
@@ -43,6 +43,7 @@
     settings.discoveryAddress = root.endpoint("discovery_address");
     settings.logLevel = root.text("log_level");
     settings.logLinesPerSecond = static_cast<std::size_t>(root.integer("log_lines_per_second"));
+    settings.watchTime = root.duration("watch_time");
     settings.shutdownAnnounce = root.duration("shutdown_announce");
     settings.shutdownLimit = root.duration("shutdown_limit");
     settings.journalLines = static_cast<std::size_t>(root.integer("journal_lines"));
--- a/src/config/ForwardSettings.h
+++ b/src/config/ForwardSettings.h
@@ -27,6 +27,7 @@
     Endpoint discoveryAddress;
     std::string logLevel;
     std::size_t logLinesPerSecond = 0;
+    Duration watchTime{};
     Duration shutdownAnnounce{};
     Duration shutdownLimit{};
     std::size_t journalLines = 0;
--- a/src/core/Counters.cpp
+++ b/src/core/Counters.cpp
@@ -19,6 +19,25 @@
 
 constexpr std::array<double, 3> quantiles = {0.5, 0.99, 0.999};
 
+// Seconds; dense where today's latency goals lie, 0.1 to 1 s.
+constexpr std::array<double, 14> bucketBounds = {0.001, 0.005, 0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 5, 10};
+
+/// A metric's name as it was given, taken apart.
+struct MetricName {
+    std::string_view base;
+    std::string_view labels; // With a comma behind them, or empty.
+};
+
+MetricName split(std::string_view name, std::string &storage)
+{
+    const auto brace = name.find('{');
+    if (brace == std::string_view::npos) {
+        return {name, ""};
+    }
+    storage = fmt::format("{},", name.substr(brace + 1, name.size() - brace - 2));
+    return {name.substr(0, brace), storage};
+}
+
 } // namespace
 
 class Counters::Summary
@@ -32,18 +51,29 @@
     void add(double seconds)
     {
         set_(seconds);
+        for (std::size_t bucket = 0; bucket < bucketBounds.size(); ++bucket) {
+            buckets_[bucket] += seconds <= bucketBounds[bucket] ? 1 : 0;
+        }
     }
 
     void write(std::string &out, std::string_view name) const
     {
+        std::string storage;
+        const auto [base, labels] = split(name, storage);
         for (const double probability : quantiles) {
             const double value = acc::quantile(set_, acc::quantile_probability = probability);
-            out += fmt::format("{}{{quantile=\"{}\"}} {:.6f}\n", name, probability, value);
+            out += fmt::format("{}{{{}quantile=\"{}\"}} {:.6f}\n", base, labels, probability, value);
+        }
+        for (std::size_t bucket = 0; bucket < bucketBounds.size(); ++bucket) {
+            out += fmt::format("{}_bucket{{{}le=\"{}\"}} {}\n", base, labels, bucketBounds[bucket], buckets_[bucket]);
         }
-        out += fmt::format("{}_sum {:.6f}\n{}_count {}\n", name, acc::sum(set_), name, acc::count(set_));
+        out += fmt::format("{}_bucket{{{}le=\"+Inf\"}} {}\n", base, labels, acc::count(set_));
+        const std::string_view bare = labels.empty() ? labels : labels.substr(0, labels.size() - 1);
+        out += fmt::format("{0}_sum{{{1}}} {2:.6f}\n{0}_count{{{1}}} {3}\n", base, bare, acc::sum(set_), acc::count(set_));
     }
 
 private:
+    std::array<std::uint64_t, bucketBounds.size()> buckets_{}; // Cumulative, as the text format has them.
     acc::accumulator_set<double, acc::stats<acc::tag::extended_p_square_quantile, acc::tag::sum, acc::tag::count>> set_;
 };
 
--- a/src/core/Counters.h
+++ b/src/core/Counters.h
@@ -1,5 +1,5 @@
 /*
- * Part core: counters and quantiles of one process, in the text exposition format.
+ * Part core: counters, quantiles and histograms of one process, in the text exposition format.
  */
 #pragma once
 
@@ -26,7 +26,7 @@
     /// \returns the counter's value, zero when it was never added to.
     std::uint64_t value(std::string_view name) const;
 
-    /// \brief Adds one observation to the summary \p name, in seconds on output.
+    /// \brief Adds one observation to the distribution \p name, in seconds on output; labels as in add().
     void observe(std::string_view name, Duration value);
 
     /// \returns all metrics in the text exposition format.
--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -10,11 +10,10 @@
 
 namespace {
 
-// A connection that goes silent under a watch is noticed after this and the source's answer time; five seconds after
-// such a loss the bounds on configuration and draining hold again.
-constexpr Duration watchTime = std::chrono::milliseconds(5'000);
-// Changes come in bursts and each call is paid for; well under the shortest drain time of three seconds.
+// Changes come in bursts and each call is paid for: the wait before the next call grows while changes keep coming. Its
+// longest is well under the shortest bounds on configuration and draining, three seconds.
 constexpr Duration gatherTime = std::chrono::milliseconds(300);
+constexpr unsigned maxGatherTimes = 3;
 constexpr Duration firstBackoff = std::chrono::milliseconds(200);
 // Bounds how late a regained source is noticed; the bounds on configuration hold again after five seconds.
 constexpr Duration maxBackoff = std::chrono::milliseconds(1'500);
@@ -29,12 +28,14 @@
                                          Journal &journal,
                                          DiscoverySource &source,
                                          Registry &registry,
+                                         Duration watchTime,
                                          std::uint64_t seed)
     : clock_(clock)
     , scheduler_(scheduler)
     , journal_(journal)
     , source_(source)
     , registry_(registry)
+    , watchTime_(watchTime)
     , random_(seed)
     , alive_(std::make_shared<int>(0))
 {
@@ -103,7 +104,7 @@
 
 void DiscoveryController::watch()
 {
-    source_.watch(revision_, watchTime, [this, alive = std::weak_ptr<int>(alive_)](const DiscoveryReading &reading) {
+    source_.watch(revision_, watchTime_, [this, alive = std::weak_ptr<int>(alive_)](const DiscoveryReading &reading) {
         if (!alive.expired()) {
             watched(reading);
         }
@@ -127,10 +128,12 @@
     registry_.apply(reading, false, recentlyLost());
     revision_ = std::max(revision_, reading.revision);
     if (reading.changes.empty()) {
+        burst_ = 0;
         next();
         return;
     }
-    again(gatherTime);
+    burst_ = std::min(burst_ + 1, maxGatherTimes);
+    again(gatherTime * burst_);
 }
 
 void DiscoveryController::failed(const std::error_code &error)
--- a/src/discovery/DiscoveryController.h
+++ b/src/discovery/DiscoveryController.h
@@ -17,11 +17,14 @@
 class DiscoveryController
 {
 public:
+    /// \param watchTime longest time that one call waits for changes. A connection that goes silent under a watch is
+    /// noticed after this and the source's answer time.
     DiscoveryController(const Clock &clock,
                         Scheduler &scheduler,
                         Journal &journal,
                         DiscoverySource &source,
                         Registry &registry,
+                        Duration watchTime,
                         std::uint64_t seed);
 
     void start();
@@ -52,6 +55,8 @@
     Journal &journal_;
     DiscoverySource &source_;
     Registry &registry_;
+    Duration watchTime_;
+    unsigned burst_ = 0; // Calls in a row that brought changes, up to a bound.
     std::mt19937_64 random_;
     std::int64_t revision_ = 0;
     bool needsAll_ = true; // Whether the next call must be a full reading.
--- a/src/forward/ForwardMessages.h
+++ b/src/forward/ForwardMessages.h
@@ -26,11 +26,11 @@
 /// \brief What a target answered.
 struct TargetAnswer {
     unsigned status = 0;
-    bool notRun = false;        ///< The target itself says that it did not run the request.
-    bool otherTarget = false;   ///< Another target has the address now; implies notRun.
-    bool encoded = false;       ///< The body is not the target's own bytes.
-    bool closes = false;        ///< The target is about to close the connection.
-    std::string signature;      ///< Of this answer; empty when it has none.
+    bool notRun = false;               ///< The target itself says that it did not run the request.
+    bool otherTarget = false;          ///< Another target has the address now; implies notRun.
+    bool encoded = false;              ///< The body is not the target's own bytes.
+    bool closes = false;               ///< The target is about to close the connection.
+    std::string signature;             ///< Of this answer; empty when it has none.
     std::optional<Duration> keepAlive; ///< How long the target keeps an idle connection, if it says so.
     std::string body;
     std::vector<WireHeader> headers = {}; ///< End to end ones, with the id and the signature.
--- a/src/forward/ForwardOperation.cpp
+++ b/src/forward/ForwardOperation.cpp
@@ -123,8 +123,8 @@
 void ForwardOperation::singleEnded()
 {
     CallResult &result = parts_.front().result;
-    const bool passable = result.answer && !result.answer->signature.empty() && !result.answer->encoded
-                          && !promisesNotRun(result.answer->status);
+    const bool passable
+        = result.answer && !result.answer->signature.empty() && !result.answer->encoded && !promisesNotRun(result.answer->status);
     if (result.good || passable) {
         answerTarget(std::move(*result.answer));
         return;
@@ -192,7 +192,12 @@
     }
     const std::size_t missing = parts_.size() - signatures.size();
     ServiceReply reply = environment_.codec.encodeMerged(signatures, missing, greatestRecords(bodies, shards_->topRecords));
-    environment_.counters.add("magnoliaspan_parts_missing_total", missing);
+    for (const ServicePart &part : parts_) {
+        if (part.ended && part.result.good) {
+            continue;
+        }
+        environment_.counters.add(fmt::format("magnoliaspan_parts_missing_total{{cause=\"{}\"}}", part.ended ? part.result.cause : "late"));
+    }
     deliver(std::move(reply), missing == 0 ? "whole" : "partial");
 }
 
@@ -273,7 +278,8 @@
                                           ms(now - startedAt_),
                                           ms(context_->goal - now),
                                           ms(context_->deadline - now)));
-    environment_.counters.observe(fmt::format("magnoliaspan_request_seconds{{status=\"{}\"}}", reply.status), now - startedAt_);
+    environment_.counters.observe(
+        fmt::format("magnoliaspan_request_seconds{{route=\"{}\",status=\"{}\"}}", context_->route->name, reply.status), now - startedAt_);
     for (ServicePart &part : parts_) {
         part.call->stop(false);
     }
--- a/src/forward/ForwardService.cpp
+++ b/src/forward/ForwardService.cpp
@@ -46,10 +46,14 @@
 ForwardService::refuse(const ForwardRequest &request, unsigned status, std::string_view cause, std::optional<Duration> retryAfter)
 {
     const std::int64_t version = registry_.table() ? registry_.table()->version() : 0;
-    environment_.journal.note(
-        Part::Admit,
-        request.id,
-        fmt::format("request refused status={} cause=\"{}\" host={} path={} table={}", status, cause, request.host, pathOf(request.target), version));
+    environment_.journal.note(Part::Admit,
+                              request.id,
+                              fmt::format("request refused status={} cause=\"{}\" host={} path={} table={}",
+                                          status,
+                                          cause,
+                                          request.host,
+                                          pathOf(request.target),
+                                          version));
     environment_.counters.add(fmt::format("magnoliaspan_refusals_total{{cause=\"{}\"}}", cause));
     return refusalReply(status, cause, retryAfter);
 }
@@ -57,12 +61,16 @@
 ForwardService::Plan ForwardService::plan(const Route &route)
 {
     return std::visit(Visitor{
-                          [](const ToService &to) { return Plan{{to.service}, nullptr}; },
+                          [](const ToService &to) {
+                              return Plan{{to.service}, nullptr};
+                          },
                           [this, &route](const ToSplit &to) {
                               const double offset = std::uniform_real_distribution<double>(0, 1)(random_);
                               return Plan{{splits_.next(route.name, to.parts, offset)}, nullptr};
                           },
-                          [](const ToShards &to) { return Plan{to.services, &to}; },
+                          [](const ToShards &to) {
+                              return Plan{to.services, &to};
+                          },
                       },
                       route.destination);
 }
@@ -111,12 +119,8 @@
         const auto operation = operations_.extract(number);
         handler(std::move(reply));
     };
-    auto operation = std::make_shared<ForwardOperation>(environment_,
-                                                        replicas_,
-                                                        contextOf(std::move(request), *route),
-                                                        std::move(planned.services),
-                                                        planned.shards,
-                                                        std::move(finished));
+    auto operation = std::make_shared<ForwardOperation>(
+        environment_, replicas_, contextOf(std::move(request), *route), std::move(planned.services), planned.shards, std::move(finished));
     operations_.emplace(number, operation);
     operation->start();
     return [this, number] {
--- a/src/forward/HopByHop.cpp
+++ b/src/forward/HopByHop.cpp
@@ -12,16 +12,16 @@
 namespace {
 
 constexpr std::array<std::string_view, 10> hopByHopNames = {"connection",
-                                                           "keep-alive",
-                                                           "proxy-connection",
-                                                           "proxy-authenticate",
-                                                           "proxy-authorization",
-                                                           "te",
-                                                           "trailer",
-                                                           "transfer-encoding",
-                                                           "upgrade",
-                                                           // The whole body is here; nobody waits for leave to send it.
-                                                           "expect"};
+                                                            "keep-alive",
+                                                            "proxy-connection",
+                                                            "proxy-authenticate",
+                                                            "proxy-authorization",
+                                                            "te",
+                                                            "trailer",
+                                                            "transfer-encoding",
+                                                            "upgrade",
+                                                            // The whole body is here; nobody waits for leave to send it.
+                                                            "expect"};
 
 std::string_view trimmed(std::string_view text)
 {
@@ -55,9 +55,8 @@
 
 bool sameHeader(std::string_view a, std::string_view b)
 {
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
-        return std::tolower(x) == std::tolower(y);
-    });
+    return std::equal(
+        a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
 }
 
 bool isHopByHop(std::string_view name)
--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -384,7 +384,9 @@
         result.end = SendEnd::OtherTarget;
         ended_ = true;
         environment_.journal.note(
-            Part::Target, "", fmt::format("address belongs to another target now target={} address={}", entry_.id, entry_.address.toString()));
+            Part::Target,
+            "",
+            fmt::format("address belongs to another target now target={} address={}", entry_.id, entry_.address.toString()));
         return;
     }
     result.end = result.answer.notRun ? SendEnd::NotRun : SendEnd::Answered;
@@ -502,8 +504,8 @@
     if (idle != ConnectionId::None) {
         startQueued(idle);
     }
-    const auto connecting = static_cast<std::size_t>(
-        std::count_if(lines_.begin(), lines_.end(), [](const auto &entry) { return entry.second.connecting; }));
+    const auto connecting
+        = static_cast<std::size_t>(std::count_if(lines_.begin(), lines_.end(), [](const auto &entry) { return entry.second.connecting; }));
     if (connecting < queue_.size() && mayOpen() && mayStart()) {
         open();
     }
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -125,7 +125,7 @@
         SendOrder order;
         TimePoint queuedAt;
         std::optional<TimePoint> sentAt;
-        bool alone = false; // Whether no other send of this host ran when it was sent.
+        bool alone = false;                           // Whether no other send of this host ran when it was sent.
         ConnectionId connection = ConnectionId::None; // None while it waits for one.
         TimerId timer = TimerId::None;                // Ends a released send.
         bool released = false;
@@ -177,7 +177,7 @@
     ConcurrencyLimit concurrency_;
     std::uint64_t lastSend_ = 0;
     std::uint64_t lastLine_ = 0;
-    unsigned allowedLines_;        // Grows with each new connection that works, shrinks when one is turned away.
+    unsigned allowedLines_; // Grows with each new connection that works, shrinks when one is turned away.
     TimePoint coldUntil_{};
     bool coldUnknown_ = false; // Connects failed since the last sign of life; it may have started again.
     double coldTokens_ = 0;
--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -202,6 +202,7 @@
         arrivals_ = std::max(arrivals_, 1U);
     }
     if (result.end == SendEnd::Answered && isGood(result.answer)) {
+        environment_.counters.observe(fmt::format("magnoliaspan_send_seconds{{route=\"{}\"}}", context_->route->name), result.elapsed);
         replicas_.observe(context_->route->name, attempt.replica->limits().otherRegion, result.elapsed);
         finish({true, std::move(result.answer), Verdict::Ran, ""});
         return;
--- a/src/forward/ShardCall.h
+++ b/src/forward/ShardCall.h
@@ -27,7 +27,7 @@
 
 /// \brief How a call ended.
 struct CallResult {
-    bool good = false;                ///< answer is a success.
+    bool good = false;                  ///< answer is a success.
     std::optional<TargetAnswer> answer; ///< The last one of a target, if any came.
     Verdict verdict = Verdict::NotRun;  ///< What is known when there is no good answer.
     std::string cause;                  ///< Why there is none.
@@ -95,10 +95,10 @@
     std::vector<Attempt> running_;
     std::vector<std::string> tried_;    // Targets not to be asked now.
     std::vector<std::string> refusing_; // Of tried_, those that may be asked again after a while.
-    unsigned mayHaveRun_ = 0;        // Targets at which it ran or may have run or still may.
-    unsigned refused_ = 0;           // Targets that said that they did not run it.
-    bool turnedAway_ = false;        // Whether a new connection was reset under it.
-    unsigned arrivals_ = 0;          // Sends of which a byte has left this host.
+    unsigned mayHaveRun_ = 0;           // Targets at which it ran or may have run or still may.
+    unsigned refused_ = 0;              // Targets that said that they did not run it.
+    bool turnedAway_ = false;           // Whether a new connection was reset under it.
+    unsigned arrivals_ = 0;             // Sends of which a byte has left this host.
     unsigned sends_ = 0;
     std::optional<TargetAnswer> failure_; // The last answer that was not good.
     std::string cause_ = "no target can be used";
--- a/src/net/HttpTransport.cpp
+++ b/src/net/HttpTransport.cpp
@@ -248,7 +248,7 @@
     http::request<http::string_body> request_;
     std::optional<http::response_parser<http::string_body>> parser_;
     beast::flat_buffer buffer_;
-    bool bytesSent_ = false; // Whether any byte of the running exchange may have left.
+    bool bytesSent_ = false;                         // Whether any byte of the running exchange may have left.
     std::function<bool(const WireReply &)> belongs_; // Of the running exchange.
     bool writing_ = false;                           // Whether the request is not yet written in full.
     bool watching_ = false;
--- a/src/net/LogWriter.h
+++ b/src/net/LogWriter.h
@@ -10,8 +10,8 @@
 #include <memory>
 #include <string>
 
-#include <spdlog/sinks/base_sink.h>
 #include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 
 namespace magnoliaspan {
 
--- a/src/routing/Route.h
+++ b/src/routing/Route.h
@@ -57,8 +57,8 @@
 /// \brief What all targets of a service have in common.
 struct ServiceSpec {
     std::string name;
-    unsigned maxConnections = 1;    ///< That one target accepts from all hosts together.
-    Duration warmUp{};              ///< How long a target stays cold after its start.
+    unsigned maxConnections = 1;      ///< That one target accepts from all hosts together.
+    Duration warmUp{};                ///< How long a target stays cold after its start.
     double coldRequestsPerSecond = 0; ///< That a cold target bears from all hosts together.
 };
 
--- a/src/routing/RoutingTable.cpp
+++ b/src/routing/RoutingTable.cpp
@@ -19,10 +19,7 @@
 
 } // namespace
 
-RoutingTable::RoutingTable(std::int64_t version,
-                           std::vector<Route> routes,
-                           std::vector<ServiceSpec> services,
-                           const ListenerLimits &limits)
+RoutingTable::RoutingTable(std::int64_t version, std::vector<Route> routes, std::vector<ServiceSpec> services, const ListenerLimits &limits)
     : version_(version)
     , routes_(std::move(routes))
     , limits_(limits)
--- a/tests/unit/ConnectionDrainTest.cpp
+++ b/tests/unit/ConnectionDrainTest.cpp
@@ -1,8 +1,8 @@
 /*
  * Unit tests: a process that ends while a request is on its way to it.
  */
-#include "magnoliaspan/net.h"
 #include "net/ConnectionDrain.h"
+#include "magnoliaspan/net.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/unit/ForwardFixture.cpp
+++ b/tests/unit/ForwardFixture.cpp
@@ -42,7 +42,11 @@
 WireRequest PlainCodec::encodeRequest(const ForwardRequest &request, std::string_view targetId, Duration timeLeft) const
 {
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
-    return {request.target, request.body, "", {{"id", request.id}, {"target", std::string(targetId)}, {"left", std::to_string(ms)}}, request.method};
+    return {request.target,
+            request.body,
+            "",
+            {{"id", request.id}, {"target", std::string(targetId)}, {"left", std::to_string(ms)}},
+            request.method};
 }
 
 TargetAnswer PlainCodec::decodeAnswer(WireReply reply) const
@@ -241,6 +245,7 @@
     settings.regionOfZone = {{"here", "home"}, {"there", "away"}};
     settings.shutdownAnnounce = std::chrono::seconds(2);
     settings.shutdownLimit = std::chrono::seconds(5);
+    settings.watchTime = std::chrono::seconds(5);
     settings.journalLines = 1'000;
     settings.limits = limits;
     host = std::make_unique<ForwardHost>(
--- a/tests/unit/ForwardFixture.h
+++ b/tests/unit/ForwardFixture.h
@@ -124,7 +124,8 @@
     TargetEntry entryOf(const std::string &id) const;
 
     /// Sends one request to host "h", path "/" + \p route + "/x".
-    std::shared_ptr<CallerAnswer> call(const std::string &route, Duration patience = std::chrono::seconds(2), const std::string &method = "GET");
+    std::shared_ptr<CallerAnswer>
+    call(const std::string &route, Duration patience = std::chrono::seconds(2), const std::string &method = "GET");
 
     /// The caller of \p answer closes its connection.
     void leave(const std::shared_ptr<CallerAnswer> &answer);
--- a/tests/unit/ForwardTest.cpp
+++ b/tests/unit/ForwardTest.cpp
@@ -25,9 +25,8 @@
 
 bool logged(const ForwardFixture &fixture, std::string_view text)
 {
-    return std::any_of(fixture.log.begin(), fixture.log.end(), [text](const std::string &line) {
-        return line.find(text) != std::string::npos;
-    });
+    return std::any_of(
+        fixture.log.begin(), fixture.log.end(), [text](const std::string &line) { return line.find(text) != std::string::npos; });
 }
 
 } // namespace
@@ -307,9 +306,8 @@
     fixture.limits.extraSendSlack = 100;
     const TimePoint over = fixture.time.now() + milliseconds(440);
     for (const char *id : {"t1", "t2"}) {
-        fixture.addTarget(id, {"s", "here"}).each = [&fixture, over](unsigned) {
-            return fixture.time.now() < over ? Behaviour::Shed : Behaviour::Answer;
-        };
+        fixture.addTarget(id, {"s", "here"}).each
+            = [&fixture, over](unsigned) { return fixture.time.now() < over ? Behaviour::Shed : Behaviour::Answer; };
     }
     fixture.addTarget("t3", {"s", "here"});
     fixture.network.remove(fixture.entryOf("t3").address.toString());
@@ -381,9 +379,8 @@
     FakeTarget &full = fixture.addTarget("t1", {"s", "here"});
     fixture.addTarget("t2", {"s", "there"});
     fixture.network.link("host", "t1").losesRequests = true;
-    const auto publish = [&fixture](Repeatability repeatability) {
-        fixture.publish({ForwardFixture::route("a", ToService{"s"}, repeatability)});
-    };
+    const auto publish
+        = [&fixture](Repeatability repeatability) { fixture.publish({ForwardFixture::route("a", ToService{"s"}, repeatability)}); };
     SECTION("work that may be repeated is served elsewhere, and the target is left alone for a while")
     {
         publish(Repeatability::Idempotent);
@@ -586,3 +583,19 @@
     CHECK(fixture.discovery.calls.size() == calls + 1);
     CHECK(logged(fixture, "process was paused"));
 }
+
+TEST_CASE("discovery: a burst of changes costs few calls")
+{
+    ForwardFixture fixture;
+    fixture.addTarget("t1", {"s", "here"});
+    fixture.publish({ForwardFixture::route("a", ToService{"s"})});
+    const auto before = fixture.discovery.calls.size();
+    for (int change = 0; change < 30; ++change) {
+        TargetEntry entry = fixture.entryOf("t1");
+        entry.slots = 3 + static_cast<unsigned>(change);
+        fixture.change({TargetPublished{entry}});
+        fixture.run(milliseconds(100));
+    }
+    // Three seconds of changes: waits of 0.3, 0.6 and then 0.9 s.
+    CHECK(fixture.discovery.calls.size() - before <= 5);
+}
--- /dev/null
+++ b/tests/unit/PlatformTest.cpp
@@ -0,0 +1,264 @@
+/*
+ * Unit tests: the platform's names are decoded into the product's types, and bad input is left out with its reason.
+ */
+#include "core/Counters.h"
+#include "platform/Adapter.h"
+#include "platform/StoreSource.h"
+#include "platform/StoreValues.h"
+#include "scenario/FakeNetwork.h"
+
+#include <catch2/catch.hpp>
+
+#include <fmt/format.h>
+#include <openssl/evp.h>
+#include <random>
+
+using namespace magnoliaspan;
+using namespace magnoliaspan::testing;
+
+namespace {
+
+constexpr std::string_view configuration = R"({"version":7,"routes":[
+{"name":"g","host":"a.example","prefix":"/x/","type":"idempotent","timeout_ms":1500,"latency_goal_ms":100,"priority":2,
+ "gather":["s1","s2"],"max_attempts":2,"top_k":5,"min_coverage":0.75,"allowed_regions":[]},
+{"name":"w","host":"a.example","prefix":"/x/y/","type":"non_idempotent","timeout_ms":8000,"latency_goal_ms":500,"priority":1,
+ "traffic_split":[{"service":"s1","weight":3},{"service":"s2","weight":1}],"max_attempts":2,"allowed_regions":["here"]}],
+"services":[{"name":"s1","health_path":"/health","max_connections":31,"protocol":"h1","tls":false,"warmup_s":3.0,"warmup_per_s":0.5}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000},"unknown":1})";
+
+constexpr std::string_view target = R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","version":"v1","capacity":3,
+"state":"ready","warmup_left_ms":1200,"sequence":4,"born":1774416614097})";
+
+std::string encoded(std::string_view bytes)
+{
+    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),        // NOLINT: the library's byte type
+                                       reinterpret_cast<const unsigned char *>(bytes.data()), // NOLINT: the library's byte type
+                                       static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+/// Answers each call with the next of its texts and remembers the paths.
+class FakeStore : public Service
+{
+public:
+    Abandon handle(ServiceRequest request, ReplyHandler handler) override
+    {
+        paths.push_back(request.target);
+        ServiceReply reply;
+        reply.status = status;
+        reply.body = answers.at(std::min(paths.size(), answers.size()) - 1);
+        handler(reply);
+        return {};
+    }
+
+    unsigned status = 200;
+    std::vector<std::string> paths;
+    std::vector<std::string> answers;
+};
+
+struct StoreFixture {
+    StoreFixture()
+    {
+        Node node;
+        node.name = "store";
+        node.service = &store;
+        node.time = &process;
+        network.place("10.0.0.1:1", node);
+    }
+
+    DiscoveryReading readAll(Freshness freshness = Freshness::Latest)
+    {
+        DiscoveryReading result;
+        result.revision = -1;
+        source.readAll(freshness, [&result](const DiscoveryReading &reading) { result = reading; });
+        time.runUntil(time.now() + std::chrono::seconds(3));
+        return result;
+    }
+
+    ManualTime time;
+    ProcessTime process{time, {}};
+    FakeNetwork network{time};
+    FakeTransport transport{network, process, "host", "z"};
+    FakeStore store;
+    platform::StoreSource source{process, process, transport, {"10.0.0.1", 1}};
+};
+
+} // namespace
+
+TEST_CASE("platform: a configuration becomes routes, services and limits")
+{
+    const auto change = platform::decodeItem("op/config", configuration);
+    REQUIRE(change);
+    const auto *published = std::get_if<TablePublished>(&*change);
+    REQUIRE(published != nullptr);
+    const RoutingTable &table = *published->table;
+    CHECK(table.version() == 7);
+    const Route *gather = table.find("a.example", "/x/1");
+    REQUIRE(gather != nullptr);
+    CHECK(gather->repeatability == Repeatability::Idempotent);
+    CHECK(gather->latencyGoal == std::chrono::milliseconds(100));
+    REQUIRE(std::holds_alternative<ToShards>(gather->destination));
+    CHECK(std::get<ToShards>(gather->destination).minimumCoverage == 0.75);
+    const Route *split = table.find("a.example", "/x/y/1");
+    REQUIRE(split != nullptr);
+    CHECK(split->repeatability == Repeatability::NonIdempotent);
+    CHECK(split->allowedRegions == std::vector<std::string>{"here"});
+    CHECK(std::get<ToSplit>(split->destination).parts.front().weight == 3);
+    CHECK(table.findService("s1")->maxConnections == 31);
+    CHECK(table.findService("s1")->coldRequestsPerSecond == 0.5);
+    CHECK(table.limits().idleTimeout == std::chrono::seconds(15));
+}
+
+TEST_CASE("platform: a target's entry, an evacuation and their removal")
+{
+    const auto change = platform::decodeItem("servers/i-1", target);
+    REQUIRE(change);
+    const TargetEntry entry = std::get<TargetPublished>(*change).entry;
+    CHECK(entry.id == "i-1");
+    CHECK(entry.address.port == 8080);
+    CHECK(entry.slots == 3);
+    CHECK(entry.coldLeft == std::chrono::milliseconds(1'200));
+    CHECK(entry.startedAt == 1774416614097);
+    CHECK(std::get<TargetRemoved>(*platform::decodeItem("servers/i-1", std::nullopt)).id == "i-1");
+    CHECK(std::get<ZoneEvacuation>(*platform::decodeItem("op/evacuate/z", "{}")).evacuated);
+    CHECK_FALSE(std::get<ZoneEvacuation>(*platform::decodeItem("op/evacuate/z", std::nullopt)).evacuated);
+    CHECK_FALSE(platform::decodeItem("someone/else", "{}"));
+}
+
+TEST_CASE("platform: entries of other writers are left out with their reason")
+{
+    const std::vector<std::string> bad = {"", "\xff\xfe", "[]", "{}", R"({"service":7})", std::string(target).replace(12, 4, "null")};
+    for (const std::string &value : bad) {
+        const auto change = platform::decodeItem("servers/i-1", value);
+        REQUIRE(change);
+        REQUIRE(std::holds_alternative<Unreadable>(*change));
+        CHECK_FALSE(std::get<Unreadable>(*change).reason.empty());
+    }
+    std::string state(target);
+    state.replace(state.find("\"ready\""), 7, "\"odd\"");
+    CHECK(std::holds_alternative<Unreadable>(*platform::decodeItem("servers/i-1", state)));
+    std::string missing(configuration);
+    missing.replace(missing.find("\"host\""), 6, "\"tsoh\"");
+    const auto change = platform::decodeItem("op/config", missing);
+    CHECK(std::get<Unreadable>(*change).reason.find("routes[0]") != std::string::npos);
+}
+
+TEST_CASE("platform: changed bytes of values never end the process")
+{
+    std::mt19937 random(7);
+    for (int round = 0; round < 3'000; ++round) {
+        std::string value(round % 2 == 0 ? configuration : target);
+        for (int change = 0; change < 3; ++change) {
+            value[random() % value.size()] = static_cast<char>(random() % 256);
+        }
+        const auto decoded = platform::decodeItem(round % 2 == 0 ? "op/config" : "servers/i-1", value);
+        CHECK(decoded.has_value());
+    }
+}
+
+TEST_CASE("platform: a full reading goes page by page and keeps the first page's revision")
+{
+    StoreFixture fixture;
+    fixture.store.answers = {
+        fmt::format(R"({{"items":[{{"key":"servers/i-1","value":"{}","rev":3}}],"truncated":true,"store_revision":9}})", encoded(target)),
+        R"({"items":[{"key":"servers/i-2","value":"!!","rev":3}],"truncated":false,"store_revision":12})"};
+    const DiscoveryReading reading = fixture.readAll(Freshness::MayBeOld);
+    CHECK_FALSE(reading.error);
+    CHECK(reading.revision == 9);
+    REQUIRE(reading.changes.size() == 2);
+    CHECK(std::get<TargetPublished>(reading.changes[0]).entry.id == "i-1");
+    CHECK(std::holds_alternative<Unreadable>(reading.changes[1]));
+    REQUIRE(fixture.store.paths.size() == 2);
+    CHECK(fixture.store.paths[0].find("stale_ok=1") != std::string::npos);
+    CHECK(fixture.store.paths[1].find("after=servers/i-1") != std::string::npos);
+}
+
+TEST_CASE("platform: answers that are none are errors, and a lost history is told")
+{
+    StoreFixture fixture;
+    for (const char *body : {"", "{}", "[1]", R"({"items":7,"store_revision":1})", R"({"items":[],"store_revision":"x"})"}) {
+        fixture.store.answers = {body};
+        CHECK(fixture.readAll().error);
+    }
+    fixture.store.status = 503;
+    CHECK(fixture.readAll().error);
+    fixture.store.status = 410;
+    bool lost = false;
+    fixture.source.watch(5, std::chrono::seconds(1), [&lost](const DiscoveryReading &reading) { lost = reading.historyLost; });
+    fixture.time.runUntil(fixture.time.now() + std::chrono::seconds(1));
+    CHECK(lost);
+    fixture.network.link("host", "store").cut = true;
+    CHECK(fixture.readAll().error);
+}
+
+TEST_CASE("platform: a request is passed on unchanged, and an answer of another request does not belong to it")
+{
+    const auto codec = platform::makeCodec();
+    ServiceRequest incoming;
+    incoming.method = "POST";
+    incoming.target = "/x/1?q=2";
+    incoming.body = "bytes";
+    incoming.headers = {{"Host", "a.example"},
+                        {"X-Magnoliaspan-Request-Id", "id-1"},
+                        {"X-Magnoliaspan-Request-Deadline", "1500"},
+                        {"X-Magnoliaspan-Target-Instance", "forged"},
+                        {"Connection", "keep-alive, X-Once"},
+                        {"X-Once", "1"},
+                        {"X-Kept", "2"}};
+    const ForwardRequest request = codec->decodeRequest(incoming);
+    CHECK(request.id == "id-1");
+    CHECK(*request.timeLeft == std::chrono::milliseconds(1'500));
+    const WireRequest wire = codec->encodeRequest(request, "i-9", std::chrono::milliseconds(700));
+    CHECK(wire.method == "POST");
+    CHECK(wire.path == "/x/1?q=2");
+    CHECK(wire.body == "bytes");
+    std::map<std::string, std::string> headers;
+    for (const WireHeader &header : wire.headers) {
+        CHECK(headers.emplace(header.name, header.value).second);
+    }
+    CHECK(headers.at("X-Magnoliaspan-Target-Instance") == "i-9");
+    CHECK(headers.at("X-Magnoliaspan-Request-Deadline") == "700");
+    CHECK(headers.at("X-Kept") == "2");
+    CHECK(headers.count("X-Once") == 0);
+    CHECK(headers.count("Connection") == 0);
+    WireReply reply;
+    reply.status = 200;
+    CHECK(wire.belongs(reply));
+    reply.headers = {{"X-Magnoliaspan-Request-Id", "id-2"}};
+    CHECK_FALSE(wire.belongs(reply));
+}
+
+TEST_CASE("platform: what a target says of its answer")
+{
+    const auto codec = platform::makeCodec();
+    WireReply shed;
+    shed.status = 503;
+    shed.headers = {{"X-Magnoliaspan-Not-Executed", "1"}, {"Connection", "close"}};
+    CHECK(codec->decodeAnswer(shed).notRun);
+    CHECK(codec->decodeAnswer(shed).closes);
+    WireReply other;
+    other.status = 421;
+    CHECK(codec->decodeAnswer(other).otherTarget);
+    CHECK(codec->decodeAnswer(other).notRun);
+    WireReply plain;
+    plain.status = 503;
+    plain.headers = {{"X-Magnoliaspan-Response-Signature", "s"}, {"Keep-Alive", "timeout=5, max=9"}};
+    CHECK_FALSE(codec->decodeAnswer(plain).notRun);
+    CHECK(codec->decodeAnswer(plain).keepAlive == std::chrono::seconds(5));
+    WireReply packed;
+    packed.status = 200;
+    packed.headers = {{"X-Magnoliaspan-Response-Signature", "s"}, {"Content-Encoding", "gzip"}};
+    CHECK_FALSE(isGood(codec->decodeAnswer(packed)));
+}
+
+TEST_CASE("metrics: distributions keep their labels and have buckets")
+{
+    Counters counters;
+    counters.observe("x_seconds{route=\"a\"}", std::chrono::milliseconds(30));
+    const std::string text = counters.exposition();
+    CHECK(text.find("x_seconds_bucket{route=\"a\",le=\"0.025\"} 0\n") != std::string::npos);
+    CHECK(text.find("x_seconds_bucket{route=\"a\",le=\"0.05\"} 1\n") != std::string::npos);
+    CHECK(text.find("x_seconds_count{route=\"a\"} 1\n") != std::string::npos);
+}
--- a/tests/unit/SendQueueTest.cpp
+++ b/tests/unit/SendQueueTest.cpp
@@ -1,8 +1,8 @@
 /*
  * Unit tests: the order in which sends that wait for a replica are served.
  */
-#include "ForwardFixture.h"
 #include "forward/SendQueue.h"
+#include "ForwardFixture.h"
 
 #include <catch2/catch.hpp>
 
