--- a/src/app/ForwardHost.cpp
+++ b/src/app/ForwardHost.cpp
@@ -55,6 +55,7 @@
     listener.targetChanged = [this](const TargetEntry &entry) { replicas_.targetChanged(entry); };
     listener.targetRemoved = [this](const std::string &id) { replicas_.targetRemoved(id); };
     listener.zoneChanged = [this](const std::string &zone, bool evacuated) { replicas_.zoneChanged(zone, evacuated); };
+    listener.readingApplied = [this] { callers_.readingApplied(); };
     registry_.setListener(std::move(listener));
 }
 
--- a/src/discovery/Registry.cpp
+++ b/src/discovery/Registry.cpp
@@ -48,6 +48,9 @@
     if (complete) {
         removeMissing(reading, keepLapsed);
     }
+    if (listener_.readingApplied) {
+        listener_.readingApplied();
+    }
 }
 
 void Registry::removeMissing(const DiscoveryReading &reading, bool keepLapsed)
--- a/src/discovery/Registry.h
+++ b/src/discovery/Registry.h
@@ -25,6 +25,7 @@
         std::function<void(const TargetEntry &entry)> targetChanged;
         std::function<void(const std::string &id)> targetRemoved;
         std::function<void(const std::string &zone, bool evacuated)> zoneChanged;
+        std::function<void()> readingApplied; ///< After all changes of one reading.
     };
 
     Registry(const Clock &clock, Journal &journal);
--- a/src/forward/ForwardService.cpp
+++ b/src/forward/ForwardService.cpp
@@ -16,7 +16,11 @@
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusUnavailable = 503;
 // A host that has just started reads the table within some hundred milliseconds.
-constexpr Duration noTableRetry = std::chrono::milliseconds(300);
+constexpr Duration noTableRetry = std::chrono::milliseconds(200);
+// Three round trips between regions and the source's answer; a quarter of the shortest latency goals is less.
+constexpr Duration firstTableWait = std::chrono::milliseconds(100);
+// Requests of one host in that time, many times over.
+constexpr std::size_t maxWaiting = 256;
 // Work in flight ends within some latencies.
 constexpr Duration busyRetry = std::chrono::milliseconds(200);
 // The way back to the caller, so that the answer arrives before it stops waiting.
@@ -95,11 +99,64 @@
 Service::Abandon ForwardService::handle(ServiceRequest incoming, ReplyHandler handler)
 {
     ForwardRequest request = environment_.codec.decodeRequest(std::move(incoming));
-    const RoutingTablePtr table = registry_.table();
-    if (!table) {
+    if (registry_.table()) {
+        return serve(std::move(request), std::move(handler));
+    }
+    if (waiting_.size() >= maxWaiting) {
         handler(refuse(request, statusUnavailable, "no routing table yet", noTableRetry));
         return {};
     }
+    return hold(std::move(request), std::move(handler));
+}
+
+Service::Abandon ForwardService::hold(ForwardRequest request, ReplyHandler handler)
+{
+    const std::uint64_t number = ++lastWaiting_;
+    Waiting &waiting = waiting_[number];
+    waiting.request = std::move(request);
+    waiting.handler = std::move(handler);
+    waiting.timer = environment_.scheduler.callAt(environment_.clock.now() + firstTableWait, [this, number] {
+        auto late = waiting_.extract(number);
+        late.mapped().handler(refuse(late.mapped().request, statusUnavailable, "no routing table yet", noTableRetry));
+    });
+    return [this, number] {
+        const auto found = waiting_.find(number);
+        if (found != waiting_.end()) {
+            environment_.scheduler.cancel(found->second.timer);
+            waiting_.erase(found);
+            return;
+        }
+        if (const auto served = held_.extract(number); !served.empty() && served.mapped()) {
+            served.mapped()();
+        }
+    };
+}
+
+void ForwardService::readingApplied()
+{
+    if (!registry_.table()) {
+        return;
+    }
+    const auto waiting = std::move(waiting_);
+    waiting_.clear();
+    for (const auto &[number, entry] : waiting) {
+        environment_.scheduler.cancel(entry.timer);
+        // Its caller may leave later: the way to give it up is looked up by its number then.
+        const auto ended = std::make_shared<bool>(false);
+        auto abandon = serve(entry.request, [this, number = number, ended, handler = entry.handler](ServiceReply reply) {
+            *ended = true;
+            held_.erase(number);
+            handler(std::move(reply));
+        });
+        if (!*ended) {
+            held_[number] = std::move(abandon);
+        }
+    }
+}
+
+Service::Abandon ForwardService::serve(ForwardRequest request, ReplyHandler handler)
+{
+    const RoutingTablePtr table = registry_.table();
     const Route *route = table->find(request.host, pathOf(request.target));
     if (route == nullptr) {
         handler(refuse(request, statusNotFound, "no route", std::nullopt));
--- a/src/forward/ForwardService.h
+++ b/src/forward/ForwardService.h
@@ -25,9 +25,22 @@
                    ActiveRequests &active,
                    std::uint64_t seed);
 
+    /// \brief A request that arrives before the first table is known waits for it, for a bounded time.
     Abandon handle(ServiceRequest request, ReplyHandler handler) override;
 
+    /// \brief Serves what waited for the first table, once it is known; to be called after each reading.
+    void readingApplied();
+
 private:
+    struct Waiting {
+        ForwardRequest request;
+        ReplyHandler handler;
+        TimerId timer = TimerId::None;
+    };
+
+    Abandon hold(ForwardRequest request, ReplyHandler handler);
+    Abandon serve(ForwardRequest request, ReplyHandler handler);
+
     struct Plan {
         std::vector<std::string> services;
         const ToShards *shards = nullptr; // In the routing table.
@@ -46,6 +59,9 @@
     std::map<std::string, Duration, std::less<>> longestPatience_; // Of callers' first tries, by route.
     std::map<std::uint64_t, std::shared_ptr<ForwardOperation>> operations_;
     std::uint64_t lastOperation_ = 0;
+    std::map<std::uint64_t, Waiting> waiting_; // Until the first table is known, by arrival.
+    std::map<std::uint64_t, Abandon> held_;    // Of those that waited and are served now.
+    std::uint64_t lastWaiting_ = 0;
 };
 
 } // namespace magnoliaspan
