Bounds are shared by a hundred hosts, and cold shares begin apart

Cause: hosts do not count one another yet; with twelve assumed, ninety hosts could together exceed the slack of extra sends (200), and every host's first send to a cold target fell into the same second. Change: a hundred hosts are assumed, two extra sends are always at hand (ninety hosts: 180 of 200); a cold share begins at another point on each host.

--- a/src/app/ForwardHost.cpp
+++ b/src/app/ForwardHost.cpp
@@ -23,7 +23,13 @@
     , serving_(environment.clock, environment.scheduler, journal_, settings_.shutdownAnnounce, settings_.shutdownLimit)
     , active_(serving_)
     , registry_(environment.clock, journal_)
-    , environment_{environment.clock, environment.scheduler, environment.transport, journal_, counters_, environment.codec}
+    , environment_{environment.clock,
+                   environment.scheduler,
+                   environment.transport,
+                   journal_,
+                   counters_,
+                   environment.codec,
+                   environment.seed}
     , replicas_(environment_, registry_, {settings_.zone, settings_.regionOfZone}, settings_.limits)
     , discovery_(environment.clock,
                  environment.scheduler,
--- a/src/config/Schema.cpp
+++ b/src/config/Schema.cpp
@@ -119,7 +119,7 @@
               "",
               "Time after which a shutdown ends even with requests in flight."},
     FieldSpec{"journal_lines", Integer, false, "2000", 1, 1'000'000, "", "Decision lines kept in memory."},
-    FieldSpec{"hosts", Integer, false, "12", 1, 100'000, "", "Entry hosts that share the bounds of targets, at most."},
+    FieldSpec{"hosts", Integer, false, "100", 1, 100'000, "", "Entry hosts that share the bounds of targets, at most."},
     FieldSpec{"extra_send_ratio", Fraction, false, "0.1", 0, 1, "", "Sends beyond the first to a service, as a share of its requests."},
     FieldSpec{"extra_send_slack", Fraction, false, "0", 0, 1e6, "", "Extra sends beyond the ratio that all hosts may make in ten seconds."},
     FieldSpec{"cold_factor", Fraction, false, "1", 0, 100, "", "How far the published request rate of a cold target may be exceeded."},
--- a/src/forward/ForwardEnvironment.h
+++ b/src/forward/ForwardEnvironment.h
@@ -10,6 +10,8 @@
 #include "forward/ForwardCodec.h"
 #include "transport/Transport.h"
 
+#include <cstdint>
+
 namespace magnoliaspan {
 
 /// \brief References that outlive every replica and request.
@@ -20,6 +22,7 @@
     Journal &journal;
     Counters &counters;
     const ForwardCodec &codec;
+    std::uint64_t seed = 0; ///< Of what must differ between hosts.
 };
 
 } // namespace magnoliaspan
--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -9,6 +9,7 @@
 #include <cassert>
 #include <cmath>
 #include <fmt/format.h>
+#include <random>
 
 namespace magnoliaspan {
 
@@ -79,6 +80,7 @@
     , coldUntil_(environment.clock.now() + entry_.coldLeft)
     , alive_(std::make_shared<int>(0))
 {
+    startColdShare();
 }
 
 Replica::~Replica()
@@ -110,12 +112,27 @@
 void Replica::update(const TargetEntry &entry)
 {
     entry_ = entry;
+    if (!cold()) {
+        startColdShare();
+    }
     coldUnknown_ = false;
     coldUntil_ = environment_.clock.now() + entry.coldLeft;
 }
 
+// Each host begins at another point of the time between two of its sends, so that all hosts together stay within the
+// bound from the first second on.
+void Replica::startColdShare()
+{
+    std::mt19937_64 random(environment_.seed ^ std::hash<std::string>{}(entry_.id));
+    coldTokens_ = std::uniform_real_distribution<double>(0, 1)(random);
+    coldTokensAt_ = environment_.clock.now();
+}
+
 void Replica::suspectCold()
 {
+    if (!cold()) {
+        startColdShare();
+    }
     coldUntil_ = std::max(coldUntil_, environment_.clock.now() + limits_.warmUp);
 }
 
@@ -291,7 +308,10 @@
         close(id);
         connectFailed();
         // A refused connect shows that the process ended; a silent one may be a lost packet.
-        coldUnknown_ = coldUnknown_ || !silent || connectFailures_ > 1;
+        if (!cold() && (!silent || connectFailures_ > 1)) {
+            startColdShare();
+            coldUnknown_ = true;
+        }
         environment_.journal.note(Part::Target,
                                   "",
                                   fmt::format("connect failed target={} address={} error=\"{}\" in_a_row={} waiting={}",
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -163,6 +163,7 @@
     void serveQueue();
     void finish(SendId id, SendResult result);
     void connectFailed();
+    void startColdShare();
     void succeeded();
     void failed(std::string_view cause);
 
@@ -180,7 +181,7 @@
     unsigned allowedLines_; // Grows with each new connection that works, shrinks when one is turned away.
     TimePoint coldUntil_{};
     bool coldUnknown_ = false; // Connects failed since the last sign of life; it may have started again.
-    double coldTokens_ = 0;
+    double coldTokens_ = 0;    // Invariant: from 0 to 1.
     TimePoint coldTokensAt_{};
     bool ended_ = false;
     TimePoint noConnectsUntil_{};  // The target has as many connections as it takes.
--- a/src/forward/ReplicaController.cpp
+++ b/src/forward/ReplicaController.cpp
@@ -22,8 +22,11 @@
 // Two ways between regions of today's deployments.
 constexpr Duration firstUsualElsewhere = std::chrono::milliseconds(45);
 // Part of the published ratio of extra sends that is used; the rest covers requests counted in other windows.
-constexpr double ratioUsed = 0.8;
+constexpr double ratioUsed = 0.9;
 constexpr double slackUsed = 0.8;
+// A host can always send again after two failures in a row; ninety hosts stay below the smallest slack of deployments
+// of their size, two hundred.
+constexpr double leastBurst = 2;
 
 } // namespace
 
@@ -265,7 +268,7 @@
     if (found != budgets_.end()) {
         return found->second;
     }
-    const double burst = std::max(1.0, slackUsed * limits_.extraSendSlack / std::max(1U, limits_.hosts));
+    const double burst = std::max(leastBurst, slackUsed * limits_.extraSendSlack / std::max(1U, limits_.hosts));
     return budgets_.emplace(std::string(service), Budget(ratioUsed * limits_.extraSendRatio, burst)).first->second;
 }
 
--- a/tests/unit/ForwardFixture.cpp
+++ b/tests/unit/ForwardFixture.cpp
@@ -249,7 +249,8 @@
     settings.journalLines = 1'000;
     settings.limits = limits;
     host = std::make_unique<ForwardHost>(
-        ForwardHostEnvironment{process, process, transport, discovery, codec, [this](std::string_view line) { log.emplace_back(line); }, 1},
+        ForwardHostEnvironment{
+            process, process, transport, discovery, codec, [this](std::string_view line) { log.emplace_back(line); }, seed},
         settings);
     host->start();
 }
--- a/tests/unit/ForwardFixture.h
+++ b/tests/unit/ForwardFixture.h
@@ -149,6 +149,7 @@
     ScriptedDiscovery discovery{process, process};
     std::vector<std::string> log;
     ForwardLimits limits;
+    std::uint64_t seed = 1; ///< Of the host.
     std::map<std::string, std::unique_ptr<FakeTarget>> targets;
     std::unique_ptr<ForwardHost> host; ///< Made by the first publish().
     std::vector<ServiceSpec> services;
--- a/tests/unit/ForwardTest.cpp
+++ b/tests/unit/ForwardTest.cpp
@@ -439,28 +439,35 @@
     CHECK(cold.arrivals == 1);
 }
 
-TEST_CASE("forward: pattern all replicas cold, each gets no more than its share a second")
-{
-    ForwardFixture fixture;
-    fixture.limits.hosts = 5; // A share of one request a second.
-    FakeTarget &cold = fixture.addTarget("t1", {"s", "here"});
-    fixture.publish({ForwardFixture::route("a", ToService{"s"})});
-    TargetEntry entry = fixture.entryOf("t1");
-    entry.coldLeft = seconds(10);
-    entry.startedAt = 2;
-    fixture.change({TargetPublished{entry}});
-    for (int request = 0; request < 100; ++request) {
-        fixture.call("a");
-        fixture.run(milliseconds(50));
+TEST_CASE("forward: pattern all replicas cold, all hosts together stay within the bound")
+{
+    constexpr unsigned hosts = 10;
+    std::vector<TimePoint> arrivedAt;
+    for (unsigned number = 0; number < hosts; ++number) {
+        ForwardFixture fixture;
+        fixture.seed = number;
+        fixture.limits.hosts = 100; // As deployed, since hosts do not count one another.
+        FakeTarget &cold = fixture.addTarget("t1", {"s", "here"});
+        fixture.publish({ForwardFixture::route("a", ToService{"s"})});
+        TargetEntry entry = fixture.entryOf("t1");
+        entry.coldLeft = seconds(10);
+        entry.startedAt = 2;
+        fixture.change({TargetPublished{entry}});
+        for (int request = 0; request < 200; ++request) {
+            fixture.call("a");
+            fixture.run(milliseconds(45));
+        }
+        arrivedAt.insert(arrivedAt.end(), cold.arrivedAt.begin(), cold.arrivedAt.end());
     }
-    for (std::size_t first = 0; first < cold.arrivedAt.size(); ++first) {
+    std::sort(arrivedAt.begin(), arrivedAt.end());
+    for (std::size_t first = 0; first < arrivedAt.size(); ++first) {
         std::size_t inSecond = 0;
-        for (std::size_t other = first; other < cold.arrivedAt.size(); ++other) {
-            inSecond += cold.arrivedAt[other] - cold.arrivedAt[first] < seconds(1) ? 1 : 0;
+        for (std::size_t other = first; other < arrivedAt.size() && arrivedAt[other] - arrivedAt[first] < seconds(1); ++other) {
+            ++inSecond;
         }
-        CHECK(inSecond <= 2);
+        CHECK(inSecond <= 5);
     }
-    CHECK(cold.arrivals >= 4);
+    CHECK(arrivedAt.size() >= 2);
 }
 
 TEST_CASE("forward: draining targets and evacuated zones get no new work")
