Beliefs of a replica's condition in a class of their own

Change: ReplicaHealth holds coldness, reachability and failures, apart from connections and sends; behaviour as before.

--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 #include <fmt/format.h>
 #include <random>
 
@@ -17,16 +16,6 @@
 
 // Three round trips between the farthest regions and a handshake fit in a quarter of it; a lost opening packet does not.
 constexpr Duration connectTime = std::chrono::milliseconds(400);
-constexpr Duration firstUnreachable = std::chrono::milliseconds(200);
-// Bounds how late a target that is back is noticed.
-constexpr Duration maxUnreachable = std::chrono::seconds(2);
-constexpr unsigned maxDoublings = 5;
-// A target that sheds has a slot free again within some requests' time.
-constexpr Duration firstAside = std::chrono::milliseconds(60);
-constexpr Duration maxAside = std::chrono::milliseconds(1'500);
-// Ten exchanges make up two thirds of the failure rate; half of it is forgotten in two seconds.
-constexpr double failureWeight = 0.1;
-constexpr double failureHalfLife = 2'000'000; // Microseconds.
 // Targets close idle connections; work that must not run twice keeps away from those that may be about to.
 constexpr Duration freshIdle = std::chrono::seconds(2);
 constexpr Duration keepAliveGuard = std::chrono::milliseconds(500);
@@ -34,6 +23,7 @@
 // Targets reset connections beyond those that they take; a host's dead ones end at the targets' idle timeout.
 constexpr Duration firstNoConnects = std::chrono::milliseconds(100);
 constexpr Duration maxNoConnects = std::chrono::seconds(1);
+constexpr unsigned maxDoublings = 5;
 // Reading and working on a request takes a target longer than this beyond a round trip.
 constexpr Duration turnAwaySlack = std::chrono::milliseconds(2);
 // A host that has just started may follow one that lost power, and share the target's connections with its dead ones.
@@ -50,6 +40,12 @@
 // Without news for this long a replica is tried by one request at a time.
 constexpr Duration staleAfter = std::chrono::seconds(1);
 
+double coldPhase(std::uint64_t seed, const std::string &target)
+{
+    std::mt19937_64 random(seed ^ std::hash<std::string>{}(target));
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
 } // namespace
 
 std::string_view toString(SendEnd end)
@@ -75,12 +71,11 @@
     : environment_(environment)
     , entry_(std::move(entry))
     , limits_(limits)
+    , health_(environment.clock, limits.cold, entry_.coldLeft, coldPhase(environment.seed, entry_.id))
     , concurrency_(limits.connections, limits.connections)
     , allowedLines_(limits.otherRegion ? firstRemoteLines : firstLocalLines)
-    , coldUntil_(environment.clock.now() + entry_.coldLeft)
     , alive_(std::make_shared<int>(0))
 {
-    startColdShare();
 }
 
 Replica::~Replica()
@@ -106,53 +101,29 @@
 void Replica::setLimits(const ReplicaLimits &limits)
 {
     limits_ = limits;
+    health_.setLimits(limits.cold);
     concurrency_.setMaximum(limits.connections);
 }
 
 void Replica::update(const TargetEntry &entry)
 {
     entry_ = entry;
-    if (!cold()) {
-        startColdShare();
-    }
-    coldUnknown_ = false;
-    coldUntil_ = environment_.clock.now() + entry.coldLeft;
-}
-
-// Each host begins at another point of the time between two of its sends, so that all hosts together stay within the
-// bound from the first second on.
-void Replica::startColdShare()
-{
-    std::mt19937_64 random(environment_.seed ^ std::hash<std::string>{}(entry_.id));
-    coldTokens_ = std::uniform_real_distribution<double>(0, 1)(random);
-    coldTokensAt_ = environment_.clock.now();
+    health_.entryChanged(entry.coldLeft);
 }
 
 void Replica::suspectCold()
 {
-    if (!cold()) {
-        startColdShare();
-    }
-    coldUntil_ = std::max(coldUntil_, environment_.clock.now() + limits_.warmUp);
+    health_.suspectCold();
 }
 
 bool Replica::cold() const
 {
-    return coldUnknown_ || environment_.clock.now() < coldUntil_;
+    return health_.cold();
 }
 
 bool Replica::takeColdSend()
 {
-    const TimePoint now = environment_.clock.now();
-    const double passed = std::chrono::duration<double>(now - coldTokensAt_).count();
-    // At most one token is held, so that no second sees more than the share and one.
-    coldTokens_ = std::min(1.0, coldTokens_ + passed * limits_.coldPerSecond);
-    coldTokensAt_ = now;
-    if (coldTokens_ < 1) {
-        return false;
-    }
-    coldTokens_ -= 1;
-    return true;
+    return health_.takeColdSend();
 }
 
 void Replica::end()
@@ -172,7 +143,7 @@
 
 TimePoint Replica::reachableAgainAt() const
 {
-    return lines_.empty() ? std::max(unreachableUntil_, noConnectsUntil_) : unreachableUntil_;
+    return lines_.empty() ? std::max(health_.unreachableUntil(), noConnectsUntil_) : health_.unreachableUntil();
 }
 
 Duration Replica::expected(const std::string &workKind, Duration usual) const
@@ -191,12 +162,12 @@
     for (const auto &[id, send] : sends_) {
         view.oldestWait = std::max(view.oldestWait, now - send.queuedAt);
     }
-    view.failureRate = failureRate_ * std::exp2(-static_cast<double>((now - failureRateAt_).count()) / failureHalfLife);
+    view.failureRate = health_.failureRate();
     view.otherRegion = limits_.otherRegion;
     const auto estimate = latency_.find(workKind);
     const bool slower = estimate != latency_.end() && view.expected > usual + usual / 2;
-    view.stale = slower && now - lastHeard_ > staleAfter;
-    view.setAside = now < asideUntil_;
+    view.stale = slower && health_.sinceHeard() > staleAfter;
+    view.setAside = health_.setAside();
     return view;
 }
 
@@ -306,39 +277,27 @@
     if (error) {
         const bool silent = error == make_error_code(TransportError::Silent);
         close(id);
-        connectFailed();
-        // A refused connect shows that the process ended; a silent one may be a lost packet.
-        if (!cold() && (!silent || connectFailures_ > 1)) {
-            startColdShare();
-            coldUnknown_ = true;
-        }
+        health_.connectFailed(silent);
+        environment_.counters.add("magnoliaspan_target_connect_failures_total");
         environment_.journal.note(Part::Target,
                                   "",
                                   fmt::format("connect failed target={} address={} error=\"{}\" in_a_row={} waiting={}",
                                               entry_.id,
                                               entry_.address.toString(),
                                               error.message(),
-                                              connectFailures_,
+                                              health_.connectFailures(),
                                               queue_.size()));
         for (const SendId send : queue_.clear()) {
             finish(send, {SendEnd::NeverSent, {}, {}});
         }
         return;
     }
-    connectFailures_ = 0;
+    health_.connected();
     line.connecting = false;
     line.connectTook = environment_.clock.now() - line.openedAt;
     lineFree(id);
 }
 
-void Replica::connectFailed()
-{
-    const unsigned doublings = std::min(connectFailures_, maxDoublings);
-    ++connectFailures_;
-    unreachableUntil_ = environment_.clock.now() + std::min(maxUnreachable, firstUnreachable * (1U << doublings));
-    environment_.counters.add("magnoliaspan_target_connect_failures_total");
-}
-
 void Replica::start(ConnectionId id, SendId sendId)
 {
     Line &line = lines_.at(id);
@@ -398,7 +357,7 @@
         result.end = reply.bytesSent ? SendEnd::Lost : SendEnd::NeverSent;
         return;
     }
-    lastHeard_ = now;
+    health_.heard();
     result.answer = environment_.codec.decodeAnswer(std::move(reply));
     if (result.answer.otherTarget) {
         result.end = SendEnd::OtherTarget;
@@ -417,7 +376,8 @@
         }
         return;
     }
-    succeeded();
+    health_.succeeded();
+    turnedAway_ = 0;
     learnLatency(send, result.elapsed);
 }
 
@@ -456,29 +416,9 @@
     return lines_.size() < std::min(limits_.connections, allowedLines_) && environment_.clock.now() >= noConnectsUntil_;
 }
 
-void Replica::succeeded()
-{
-    const TimePoint now = environment_.clock.now();
-    turnedAway_ = 0;
-    if (coldUnknown_) {
-        // It may have started just now, and its entry has not said so yet.
-        coldUnknown_ = false;
-        suspectCold();
-    }
-    failures_ = 0;
-    asideUntil_ = {};
-    failureRate_ *= (1 - failureWeight) * std::exp2(-static_cast<double>((now - failureRateAt_).count()) / failureHalfLife);
-    failureRateAt_ = now;
-}
-
 void Replica::failed(std::string_view cause)
 {
-    const TimePoint now = environment_.clock.now();
-    ++failures_;
-    asideUntil_ = now + std::min(maxAside, firstAside * failures_);
-    const double before = failureRate_ * std::exp2(-static_cast<double>((now - failureRateAt_).count()) / failureHalfLife);
-    failureRate_ = before + failureWeight * (1 - before);
-    failureRateAt_ = now;
+    health_.failed();
     environment_.counters.add(fmt::format("magnoliaspan_target_failures_total{{cause=\"{}\"}}", cause));
 }
 
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -10,6 +10,7 @@
 #include "discovery/TargetEntry.h"
 #include "forward/ForwardEnvironment.h"
 #include "forward/LatencyEstimate.h"
+#include "forward/ReplicaHealth.h"
 #include "forward/ReplicaScore.h"
 #include "forward/SendQueue.h"
 
@@ -55,8 +56,7 @@
 /// \brief Bounds of this host's use of a replica.
 struct ReplicaLimits {
     unsigned connections = 1; ///< This host's share.
-    Duration warmUp{};        ///< How long a target is cold after a start.
-    double coldPerSecond = 0; ///< This host's share of what a cold target bears.
+    ColdLimits cold;
     bool otherRegion = false;
 };
 
@@ -162,14 +162,12 @@
     void turnedAway();
     void serveQueue();
     void finish(SendId id, SendResult result);
-    void connectFailed();
-    void startColdShare();
-    void succeeded();
     void failed(std::string_view cause);
 
     const ForwardEnvironment &environment_;
     TargetEntry entry_;
     ReplicaLimits limits_;
+    ReplicaHealth health_;
     std::map<std::string, LatencyEstimate> latency_;  // By kind of work.
     std::map<std::string, LatencyEstimate> unloaded_; // The same, of sends that had the replica to themselves.
     std::map<SendId, Send> sends_;
@@ -179,21 +177,10 @@
     std::uint64_t lastSend_ = 0;
     std::uint64_t lastLine_ = 0;
     unsigned allowedLines_; // Grows with each new connection that works, shrinks when one is turned away.
-    TimePoint coldUntil_{};
-    bool coldUnknown_ = false; // Connects failed since the last sign of life; it may have started again.
-    double coldTokens_ = 0;    // Invariant: from 0 to 1.
-    TimePoint coldTokensAt_{};
     bool ended_ = false;
-    TimePoint noConnectsUntil_{};  // The target has as many connections as it takes.
-    unsigned turnedAway_ = 0;      // New connections that it reset, in a row.
-    unsigned connectFailures_ = 0; // In a row.
-    TimePoint unreachableUntil_{};
-    unsigned failures_ = 0; // In a row.
-    TimePoint asideUntil_{};
-    double failureRate_ = 0;
-    TimePoint failureRateAt_{};
-    TimePoint lastHeard_{};
-    std::shared_ptr<int> alive_; // Handlers hold it weakly, so that none outlives the replica.
+    TimePoint noConnectsUntil_{}; // The target has as many connections as it takes.
+    unsigned turnedAway_ = 0;     // New connections that it reset, in a row.
+    std::shared_ptr<int> alive_;  // Handlers hold it weakly, so that none outlives the replica.
 };
 
 } // namespace magnoliaspan
--- a/src/forward/ReplicaController.cpp
+++ b/src/forward/ReplicaController.cpp
@@ -69,8 +69,8 @@
     }
     result.connections = result.otherRegion ? std::max(leastRemoteConnections, service->maxConnections / remoteConnectionParts)
                                             : std::max(leastLocalConnections, service->maxConnections / localConnectionParts);
-    result.warmUp = service->warmUp;
-    result.coldPerSecond = (service->coldRequestsPerSecond * limits_.coldFactor + limits_.coldSlack) / std::max(1U, limits_.hosts);
+    result.cold.warmUp = service->warmUp;
+    result.cold.perSecond = (service->coldRequestsPerSecond * limits_.coldFactor + limits_.coldSlack) / std::max(1U, limits_.hosts);
     return result;
 }
 
--- /dev/null
+++ b/src/forward/ReplicaHealth.h
@@ -0,0 +1,81 @@
+/*
+ * Part forward: what this host believes of a replica's condition: cold, unreachable, failing.
+ */
+#pragma once
+
+#include "core/Clock.h"
+
+#include <cstdint>
+
+namespace magnoliaspan {
+
+/// \brief How a replica that may be cold is to be treated.
+struct ColdLimits {
+    Duration warmUp{};    ///< How long a target is cold after a start.
+    double perSecond = 0; ///< This host's share of the requests that a cold target bears.
+};
+
+/// \brief Beliefs that entries, connects and exchanges of one replica lead to.
+class ReplicaHealth
+{
+public:
+    /// \param coldLeft how long the target's entry says that it stays cold.
+    /// \param phase of this host's first send to a cold target, 0 to 1 of the time between two of them. It differs
+    /// between hosts, so that all of them together stay within the bound from the first second on.
+    ReplicaHealth(const Clock &clock, const ColdLimits &limits, Duration coldLeft, double phase);
+
+    void setLimits(const ColdLimits &limits);
+
+    /// \brief Tells of a changed entry of the same start.
+    void entryChanged(Duration coldLeft);
+
+    /// \brief Tells that the target may have turned cold without saying so.
+    void suspectCold();
+
+    /// \returns whether it is, or may be, cold.
+    bool cold() const;
+
+    /// \brief Takes leave to send one request to a cold replica. \returns false when its share is used up.
+    bool takeColdSend();
+
+    /// \param silent whether nothing came back, as when a packet is lost; otherwise the connect was refused.
+    void connectFailed(bool silent);
+    void connected();
+    unsigned connectFailures() const;
+    TimePoint unreachableUntil() const;
+
+    /// \brief Tells of an exchange with or without a good answer.
+    void succeeded();
+    void failed();
+
+    /// \brief Tells that anything at all came from the target.
+    void heard();
+
+    /// \returns the recent share of exchanges without a good answer, 0 to 1.
+    double failureRate() const;
+
+    /// \returns whether it failed just now.
+    bool setAside() const;
+
+    Duration sinceHeard() const;
+
+private:
+    void startColdShare();
+
+    const Clock &clock_;
+    ColdLimits limits_;
+    double phase_;
+    TimePoint coldUntil_;
+    bool coldUnknown_ = false; // Connects failed since the last sign of life; it may have started again.
+    double coldTokens_ = 0;    // Invariant: from 0 to 1.
+    TimePoint coldTokensAt_{};
+    unsigned connectFailures_ = 0; // In a row.
+    TimePoint unreachableUntil_{};
+    unsigned failures_ = 0; // In a row.
+    TimePoint asideUntil_{};
+    double failureRate_ = 0; // At failureRateAt_.
+    TimePoint failureRateAt_{};
+    TimePoint lastHeard_{};
+};
+
+} // namespace magnoliaspan
