--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -27,8 +27,8 @@
 // Reading and working on a request takes a target longer than this beyond a round trip.
 constexpr Duration turnAwaySlack = std::chrono::milliseconds(2);
 // A host that has just started may follow one that lost power, and share the target's connections with its dead ones.
-constexpr unsigned firstLocalLines = 2;
-constexpr unsigned firstRemoteLines = 1;
+constexpr unsigned firstLocalConnections = 2;
+constexpr unsigned firstRemoteConnections = 1;
 // Connections beyond the first are kept only while there is work for them: when this host loses power, the target counts
 // them until its own idle timeout.
 constexpr Duration spareIdle = std::chrono::seconds(1);
@@ -73,7 +73,7 @@
     , limits_(limits)
     , health_(environment.clock, limits.cold, entry_.coldLeft, coldPhase(environment.seed, entry_.id))
     , concurrency_(limits.connections, limits.connections)
-    , allowedLines_(limits.otherRegion ? firstRemoteLines : firstLocalLines)
+    , allowedConnections_(limits.otherRegion ? firstRemoteConnections : firstLocalConnections)
     , alive_(std::make_shared<int>(0))
 {
 }
@@ -83,8 +83,8 @@
     for (const auto &[id, send] : sends_) {
         environment_.scheduler.cancel(send.timer);
     }
-    for (const auto &[id, line] : lines_) {
-        environment_.scheduler.cancel(line.timer);
+    for (const auto &[id, pooled] : connections_) {
+        environment_.scheduler.cancel(pooled.timer);
     }
 }
 
@@ -143,7 +143,7 @@
 
 TimePoint Replica::reachableAgainAt() const
 {
-    return lines_.empty() ? std::max(health_.unreachableUntil(), noConnectsUntil_) : health_.unreachableUntil();
+    return connections_.empty() ? std::max(health_.unreachableUntil(), noConnectsUntil_) : health_.unreachableUntil();
 }
 
 Duration Replica::expected(const std::string &workKind, Duration usual) const
@@ -178,27 +178,27 @@
 
 std::size_t Replica::connections() const
 {
-    return lines_.size();
+    return connections_.size();
 }
 
-Replica::ConnectionId Replica::idleLine(bool repeatable) const
+Replica::ConnectionId Replica::idleConnection(bool repeatable) const
 {
     const TimePoint now = environment_.clock.now();
     ConnectionId best = ConnectionId::None;
     TimePoint bestSince{};
-    for (const auto &[id, line] : lines_) {
-        if (line.connecting || line.send != SendId::None) {
+    for (const auto &[id, pooled] : connections_) {
+        if (pooled.connecting || pooled.send != SendId::None) {
             continue;
         }
-        const Duration idle = now - line.idleSince;
-        const bool expiring = line.keepAlive > Duration::zero() && idle + keepAliveGuard > line.keepAlive;
+        const Duration idle = now - pooled.idleSince;
+        const bool expiring = pooled.keepAlive > Duration::zero() && idle + keepAliveGuard > pooled.keepAlive;
         if (expiring || (!repeatable && idle > freshIdle)) {
             continue;
         }
         // The one used last is the least likely to have been closed.
-        if (best == ConnectionId::None || line.idleSince > bestSince) {
+        if (best == ConnectionId::None || pooled.idleSince > bestSince) {
             best = id;
-            bestSince = line.idleSince;
+            bestSince = pooled.idleSince;
         }
     }
     return best;
@@ -212,9 +212,9 @@
     Send &send = sends_[id];
     send.order = std::move(order);
     send.queuedAt = environment_.clock.now();
-    const ConnectionId line = mayStart() ? idleLine(repeatable) : ConnectionId::None;
-    if (line != ConnectionId::None) {
-        start(line, id);
+    const ConnectionId pooled = mayStart() ? idleConnection(repeatable) : ConnectionId::None;
+    if (pooled != ConnectionId::None) {
+        start(pooled, id);
         return id;
     }
     queue_.push(id, send.queuedAt, send.order.goal);
@@ -232,8 +232,8 @@
     if (mayOpen()) {
         return;
     }
-    for (const auto &[id, line] : lines_) {
-        if (!line.connecting && line.send == SendId::None) {
+    for (const auto &[id, pooled] : connections_) {
+        if (!pooled.connecting && pooled.send == SendId::None) {
             close(id);
             return;
         }
@@ -243,16 +243,16 @@
 void Replica::open()
 {
     const ConnectionId id{++lastLine_};
-    Line &line = lines_[id];
-    line.openedAt = environment_.clock.now();
+    PooledConnection &pooled = connections_[id];
+    pooled.openedAt = environment_.clock.now();
     const auto alive = std::weak_ptr<int>(alive_);
-    line.timer = environment_.scheduler.callAt(environment_.clock.now() + connectTime, [this, alive, id] {
+    pooled.timer = environment_.scheduler.callAt(environment_.clock.now() + connectTime, [this, alive, id] {
         if (!alive.expired()) {
             connected(id, TransportError::Silent);
         }
     });
     environment_.counters.add("magnoliaspan_target_connects_total");
-    line.connection = environment_.transport.connect(
+    pooled.connection = environment_.transport.connect(
         entry_.address,
         [this, alive, id](std::error_code error) {
             if (!alive.expired()) {
@@ -268,12 +268,12 @@
 
 void Replica::connected(ConnectionId id, std::error_code error)
 {
-    const auto found = lines_.find(id);
-    if (found == lines_.end() || !found->second.connecting) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end() || !found->second.connecting) {
         return;
     }
-    Line &line = found->second;
-    environment_.scheduler.cancel(line.timer);
+    PooledConnection &pooled = found->second;
+    environment_.scheduler.cancel(pooled.timer);
     if (error) {
         const bool silent = error == make_error_code(TransportError::Silent);
         close(id);
@@ -293,23 +293,23 @@
         return;
     }
     health_.connected();
-    line.connecting = false;
-    line.connectTook = environment_.clock.now() - line.openedAt;
-    lineFree(id);
+    pooled.connecting = false;
+    pooled.connectTook = environment_.clock.now() - pooled.openedAt;
+    connectionFree(id);
 }
 
 void Replica::start(ConnectionId id, SendId sendId)
 {
-    Line &line = lines_.at(id);
+    PooledConnection &pooled = connections_.at(id);
     Send &send = sends_.at(sendId);
-    send.alone = busyLines() == 0;
-    line.send = sendId;
+    send.alone = busyConnections() == 0;
+    pooled.send = sendId;
     send.connection = id;
     const TimePoint now = environment_.clock.now();
     send.sentAt = now;
     const Duration left = std::max(Duration(std::chrono::milliseconds(1)), send.order.deadline - now);
     WireRequest wire = environment_.codec.encodeRequest(*send.order.request, entry_.id, left);
-    line.connection->exchange(std::move(wire), [this, alive = std::weak_ptr<int>(alive_), id](WireReply reply) {
+    pooled.connection->exchange(std::move(wire), [this, alive = std::weak_ptr<int>(alive_), id](WireReply reply) {
         if (!alive.expired()) {
             replied(id, std::move(reply));
         }
@@ -318,8 +318,8 @@
 
 void Replica::replied(ConnectionId id, WireReply reply)
 {
-    const auto found = lines_.find(id);
-    if (found == lines_.end()) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) {
         return;
     }
     const SendId sendId = found->second.send;
@@ -329,23 +329,23 @@
     SendResult result;
     result.elapsed = environment_.clock.now() - *running->second.sentAt;
     judge(running->second, result, std::move(reply));
-    const Line &line = found->second;
-    if (result.end == SendEnd::Lost && line.fresh && result.elapsed <= line.connectTook + turnAwaySlack) {
+    const PooledConnection &pooled = found->second;
+    if (result.end == SendEnd::Lost && pooled.fresh && result.elapsed <= pooled.connectTook + turnAwaySlack) {
         result.end = SendEnd::TurnedAway;
         turnedAway();
     } else if (result.end == SendEnd::Lost) {
         failed("connection lost");
     }
-    if (line.fresh && !broken) {
+    if (pooled.fresh && !broken) {
         found->second.fresh = false;
-        ++allowedLines_;
+        ++allowedConnections_;
     }
     found->second.send = SendId::None;
     found->second.keepAlive = result.answer.keepAlive.value_or(Duration::zero());
     if (broken || result.answer.closes || ended_) {
         close(id);
     } else {
-        lineFree(id);
+        connectionFree(id);
     }
     finish(sendId, std::move(result));
 }
@@ -390,7 +390,7 @@
     if (elapsed > overloadFactor * base + overloadSlack) {
         concurrency_.shed(now);
     } else {
-        concurrency_.succeeded(busyLines() >= concurrency_.current());
+        concurrency_.succeeded(busyConnections() >= concurrency_.current());
     }
     if (send.alone) {
         unloaded.add(elapsed, now);
@@ -402,18 +402,18 @@
 {
     const unsigned doublings = std::min(turnedAway_, maxDoublings);
     ++turnedAway_;
-    allowedLines_ = std::max(1U, static_cast<unsigned>(lines_.size()) - 1);
+    allowedConnections_ = std::max(1U, static_cast<unsigned>(connections_.size()) - 1);
     noConnectsUntil_ = environment_.clock.now() + std::min(maxNoConnects, firstNoConnects * (1U << doublings));
     environment_.counters.add("magnoliaspan_target_turn_aways_total");
     if (turnedAway_ == 1) {
         environment_.journal.note(
-            Part::Target, "", fmt::format("target takes no more connections target={} own={}", entry_.id, lines_.size() - 1));
+            Part::Target, "", fmt::format("target takes no more connections target={} own={}", entry_.id, connections_.size() - 1));
     }
 }
 
 bool Replica::mayOpen() const
 {
-    return lines_.size() < std::min(limits_.connections, allowedLines_) && environment_.clock.now() >= noConnectsUntil_;
+    return connections_.size() < std::min(limits_.connections, allowedConnections_) && environment_.clock.now() >= noConnectsUntil_;
 }
 
 void Replica::failed(std::string_view cause)
@@ -422,10 +422,10 @@
     environment_.counters.add(fmt::format("magnoliaspan_target_failures_total{{cause=\"{}\"}}", cause));
 }
 
-void Replica::lineFree(ConnectionId id)
+void Replica::connectionFree(ConnectionId id)
 {
-    Line &line = lines_.at(id);
-    line.idleSince = environment_.clock.now();
+    PooledConnection &pooled = connections_.at(id);
+    pooled.idleSince = environment_.clock.now();
     startQueued(id);
 }
 
@@ -446,13 +446,13 @@
 
 bool Replica::mayStart() const
 {
-    return busyLines() < concurrency_.current();
+    return busyConnections() < concurrency_.current();
 }
 
-unsigned Replica::busyLines() const
+unsigned Replica::busyConnections() const
 {
     return static_cast<unsigned>(
-        std::count_if(lines_.begin(), lines_.end(), [](const auto &entry) { return entry.second.send != SendId::None; }));
+        std::count_if(connections_.begin(), connections_.end(), [](const auto &entry) { return entry.second.send != SendId::None; }));
 }
 
 void Replica::serveQueue()
@@ -460,12 +460,12 @@
     if (queue_.empty()) {
         return;
     }
-    const ConnectionId idle = mayStart() ? idleLine(true) : ConnectionId::None;
+    const ConnectionId idle = mayStart() ? idleConnection(true) : ConnectionId::None;
     if (idle != ConnectionId::None) {
         startQueued(idle);
     }
-    const auto connecting
-        = static_cast<std::size_t>(std::count_if(lines_.begin(), lines_.end(), [](const auto &entry) { return entry.second.connecting; }));
+    const auto connecting = static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(), [](const auto &entry) { return entry.second.connecting; }));
     if (connecting < queue_.size() && mayOpen() && mayStart()) {
         open();
     }
@@ -474,8 +474,8 @@
 // The target closed an idle connection.
 void Replica::closed(ConnectionId id)
 {
-    const auto found = lines_.find(id);
-    if (found == lines_.end() || found->second.send != SendId::None) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end() || found->second.send != SendId::None) {
         return;
     }
     close(id);
@@ -484,14 +484,14 @@
 
 void Replica::close(ConnectionId id)
 {
-    const auto found = lines_.find(id);
-    if (found == lines_.end()) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) {
         return;
     }
     environment_.scheduler.cancel(found->second.timer);
     // It may be closed by a call of its own.
     std::shared_ptr<Connection> connection = std::move(found->second.connection);
-    lines_.erase(found);
+    connections_.erase(found);
     if (connection) {
         connection->close();
         environment_.scheduler.callAt(environment_.clock.now(), [connection] {});
@@ -527,12 +527,12 @@
     if (found == sends_.end()) {
         return;
     }
-    const ConnectionId line = found->second.connection;
+    const ConnectionId pooled = found->second.connection;
     environment_.scheduler.cancel(found->second.timer);
     sends_.erase(found);
     queue_.erase(id);
-    if (line != ConnectionId::None) {
-        close(line);
+    if (pooled != ConnectionId::None) {
+        close(pooled);
         serveQueue();
     }
 }
@@ -580,13 +580,13 @@
     expireQueued();
     serveQueue();
     std::vector<ConnectionId> old;
-    for (const auto &[id, line] : lines_) {
-        if (line.connecting || line.send != SendId::None) {
+    for (const auto &[id, pooled] : connections_) {
+        if (pooled.connecting || pooled.send != SendId::None) {
             continue;
         }
-        const Duration longest = lines_.size() - old.size() > 1 ? spareIdle : longestIdle;
-        const Duration limit = line.keepAlive > Duration::zero() ? std::min(longest, line.keepAlive - keepAliveGuard) : longest;
-        if (now - line.idleSince > limit) {
+        const Duration longest = connections_.size() - old.size() > 1 ? spareIdle : longestIdle;
+        const Duration limit = pooled.keepAlive > Duration::zero() ? std::min(longest, pooled.keepAlive - keepAliveGuard) : longest;
+        if (now - pooled.idleSince > limit) {
             old.push_back(id);
         }
     }
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -131,7 +131,7 @@
         bool released = false;
     };
 
-    struct Line {
+    struct PooledConnection {
         std::unique_ptr<Connection> connection;
         bool connecting = true;
         SendId send = SendId::None; // The one that it carries, or is opened for.
@@ -143,15 +143,15 @@
         TimerId timer = TimerId::None; // Bounds the time to connect.
     };
 
-    ConnectionId idleLine(bool repeatable) const;
+    ConnectionId idleConnection(bool repeatable) const;
     void open();
     void connected(ConnectionId id, std::error_code error);
     void start(ConnectionId id, SendId send);
     void replied(ConnectionId id, WireReply reply);
-    unsigned busyLines() const;
+    unsigned busyConnections() const;
     void learnLatency(const Send &send, Duration elapsed);
     void judge(Send &send, SendResult &result, WireReply reply);
-    void lineFree(ConnectionId id);
+    void connectionFree(ConnectionId id);
     void closed(ConnectionId id);
     void close(ConnectionId id);
     void makeRoom();
@@ -171,12 +171,12 @@
     std::map<std::string, LatencyEstimate> latency_;  // By kind of work.
     std::map<std::string, LatencyEstimate> unloaded_; // The same, of sends that had the replica to themselves.
     std::map<SendId, Send> sends_;
-    std::map<ConnectionId, Line> lines_;
+    std::map<ConnectionId, PooledConnection> connections_;
     SendQueue queue_; // Invariant: sends without a connection.
     ConcurrencyLimit concurrency_;
     std::uint64_t lastSend_ = 0;
     std::uint64_t lastLine_ = 0;
-    unsigned allowedLines_; // Grows with each new connection that works, shrinks when one is turned away.
+    unsigned allowedConnections_; // Grows with each new connection that works, shrinks when one is turned away.
     bool ended_ = false;
     TimePoint noConnectsUntil_{}; // The target has as many connections as it takes.
     unsigned turnedAway_ = 0;     // New connections that it reset, in a row.
--- a/tests/cli.sh
+++ b/tests/cli.sh
@@ -54,6 +54,26 @@
 expect 2 'serve needs --settings FILE' serve
 expect 1 'unknown command line flag' version --colour=red
 
+cat >"$folder/forward.yaml" <<'SETTINGS'
+host: h1
+zone: north
+zones:
+  - name: north
+    region: r1
+caller_address: 127.0.0.1:8226
+ready_address: 127.0.0.1:8227
+metrics_address: 127.0.0.1:7750
+discovery_address: 127.0.0.1:8229
+extra_send_ratio: 0.2
+watch_time: 5000ms
+SETTINGS
+sed 's/^zone: north/zone: south/' "$folder/forward.yaml" >"$folder/elsewhere.yaml"
+sed 's/ratio: 0.2/ratio: lots/' "$folder/forward.yaml" >"$folder/lots.yaml"
+expect 0 '' check "$folder/forward.yaml"
+expect 1 "elsewhere.yaml:2: zone: 'south' is not among the zones" check "$folder/elsewhere.yaml"
+expect 1 "lots.yaml:10: extra_send_ratio: 'lots'" forward "--settings=$folder/lots.yaml"
+expect 2 'forward needs --settings FILE' forward
+
 "$program" promote "$folder/trial.yaml" >"$folder/production.yaml"
 expect 0 "generation 7 of environment 'production'" check "$folder/production.yaml"
 
--- /dev/null
+++ b/tests/unit/HttpTransportTest.cpp
@@ -0,0 +1,249 @@
+/*
+ * Unit tests: what a target may do to a connection, on real sockets.
+ */
+#include "magnoliaspan/net.h"
+#include "transport/TransportError.h"
+
+#include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace magnoliaspan;
+
+namespace {
+
+constexpr Duration pollInterval = std::chrono::milliseconds(2);
+constexpr Duration patience = std::chrono::seconds(3);
+
+/// Accepts one connection, and sends its next text when a request's head has come.
+class RawTarget
+{
+public:
+    RawTarget(EventLoop &loop, const Clock &clock, std::uint16_t port, std::vector<std::string> answers)
+        : loop_(loop)
+        , clock_(clock)
+        , listener_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
+        , answers_(std::move(answers))
+    {
+        const int on = 1;
+        ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::bind(listener_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0); // NOLINT: the interface's cast
+        REQUIRE(::listen(listener_, 8) == 0);
+        poll();
+    }
+
+    ~RawTarget()
+    {
+        loop_.cancel(timer_);
+        ::close(listener_);
+        close();
+    }
+
+    RawTarget(const RawTarget &) = delete;
+    RawTarget &operator=(const RawTarget &) = delete;
+
+    void close()
+    {
+        if (connection_ >= 0) {
+            ::close(connection_);
+            connection_ = -1;
+        }
+    }
+
+    /// Ends the connection with a reset.
+    void reset()
+    {
+        const linger hard{1, 0};
+        ::setsockopt(connection_, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+        close();
+    }
+
+    void send(const std::string &bytes) const
+    {
+        ::send(connection_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+    std::function<void()> afterAnswer; ///< Called after each answer.
+    std::size_t readAtMost = 65'536;   ///< Bytes taken from the socket before the answer.
+
+private:
+    void poll()
+    {
+        if (connection_ < 0) {
+            connection_ = ::accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK);
+        }
+        std::string bytes(readAtMost - std::min(readAtMost, received_.size()), '\0');
+        const auto count = connection_ < 0 || bytes.empty() ? 0 : ::recv(connection_, bytes.data(), bytes.size(), 0);
+        if (count > 0) {
+            received_.append(bytes, 0, static_cast<std::size_t>(count));
+        }
+        if (received_.find("\r\n\r\n") != std::string::npos && next_ < answers_.size()) {
+            received_.clear();
+            readAtMost = next_ + 1 < answers_.size() ? readAtMost : 0;
+            send(answers_[next_++]);
+            if (afterAnswer) {
+                afterAnswer();
+            }
+        }
+        timer_ = loop_.callAt(clock_.now() + pollInterval, [this] { poll(); });
+    }
+
+    EventLoop &loop_;
+    const Clock &clock_;
+    int listener_;
+    int connection_ = -1;
+    std::vector<std::string> answers_;
+    std::size_t next_ = 0;
+    std::string received_;
+    TimerId timer_ = TimerId::None;
+};
+
+std::string answer(const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nid: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+WireRequest request(const std::string &id, std::string body = "")
+{
+    WireRequest wire{"/x", std::move(body), "", {{"Host", "h"}, {"id", id}}, "POST"};
+    wire.belongs = [id](const WireReply &reply) {
+        for (const WireHeader &header : reply.headers) {
+            if (header.name == "id") {
+                return header.value == id;
+            }
+        }
+        return true;
+    };
+    return wire;
+}
+
+struct TransportFixture {
+    TransportFixture(std::uint16_t port, std::vector<std::string> answers)
+        : target(loop, clock, port, std::move(answers))
+    {
+        bool connected = false;
+        connection = transport.connect(
+            {"127.0.0.1", port},
+            [this, &connected](std::error_code error) {
+                connected = !error;
+                loop.stop();
+            },
+            [this] { closed = true; });
+        loop.run();
+        REQUIRE(connected);
+    }
+
+    WireReply exchange(WireRequest wire)
+    {
+        WireReply result;
+        result.error = TransportError::Silent;
+        const TimerId limit = loop.callAt(clock.now() + patience, [this] { loop.stop(); });
+        connection->exchange(std::move(wire), [&](WireReply reply) {
+            result = std::move(reply);
+            loop.stop();
+        });
+        loop.run();
+        loop.cancel(limit);
+        return result;
+    }
+
+    void wait(Duration duration)
+    {
+        loop.callAt(clock.now() + duration, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    SystemClock clock;
+    EventLoop loop{clock};
+    HttpTransport transport{loop};
+    RawTarget target;
+    std::unique_ptr<Connection> connection;
+    bool closed = false;
+};
+
+} // namespace
+
+TEST_CASE("transport: a late second answer of an earlier request is dropped, and the right one awaited")
+{
+    TransportFixture fixture(29'420, {answer("a", "first"), answer("a", "stray") + answer("b", "second")});
+    CHECK(fixture.exchange(request("a")).body == "first");
+    const WireReply second = fixture.exchange(request("b"));
+    CHECK_FALSE(second.error);
+    CHECK(second.body == "second");
+}
+
+TEST_CASE("transport: bytes after a complete answer end the connection")
+{
+    TransportFixture fixture(29'421, {answer("a", "whole") + "garbage"});
+    CHECK(fixture.exchange(request("a")).body == "whole");
+    fixture.wait(std::chrono::milliseconds(50));
+    CHECK(fixture.closed);
+}
+
+TEST_CASE("transport: bytes on an idle connection end it, and the next request is known not to have left")
+{
+    TransportFixture fixture(29'422, {answer("a", "whole")});
+    CHECK(fixture.exchange(request("a")).body == "whole");
+    fixture.target.send("HTTP/1.1 200 OK\r\n");
+    ::usleep(20'000);
+    const WireReply next = fixture.exchange(request("b"));
+    CHECK(next.error);
+    CHECK_FALSE(next.bytesSent);
+}
+
+TEST_CASE("transport: an answer without a length is whole when its connection ends, and not when it is reset")
+{
+    const std::string open = "HTTP/1.1 200 OK\r\nid: a\r\n\r\nwhole";
+    SECTION("ended")
+    {
+        TransportFixture fixture(29'423, {open});
+        fixture.target.afterAnswer = [&fixture] { fixture.target.close(); };
+        const WireReply reply = fixture.exchange(request("a"));
+        CHECK_FALSE(reply.error);
+        CHECK(reply.body == "whole");
+    }
+    SECTION("reset")
+    {
+        TransportFixture fixture(29'424, {open});
+        fixture.target.afterAnswer = [&fixture] {
+            // The bytes are read first, then the connection is found reset.
+            fixture.loop.callAt(fixture.clock.now() + std::chrono::milliseconds(30), [&fixture] { fixture.target.reset(); });
+        };
+        const WireReply reply = fixture.exchange(request("a"));
+        CHECK(reply.error);
+        CHECK(reply.bytesSent);
+    }
+}
+
+TEST_CASE("transport: an answer cut short, or that is none, is an error")
+{
+    SECTION("cut short")
+    {
+        TransportFixture fixture(29'425, {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"});
+        fixture.target.afterAnswer = [&fixture] { fixture.target.close(); };
+        CHECK(fixture.exchange(request("a")).error);
+    }
+    SECTION("none")
+    {
+        TransportFixture fixture(29'426, {"nonsense\r\n\r\n"});
+        CHECK(fixture.exchange(request("a")).error);
+    }
+}
+
+TEST_CASE("transport: an answer that comes before a long request is read is taken, and the connection not used again")
+{
+    TransportFixture fixture(29'427, {answer("a", "early")});
+    fixture.target.readAtMost = 100;
+    const WireReply reply = fixture.exchange(request("a", std::string(16'000'000, 'x')));
+    CHECK_FALSE(reply.error);
+    CHECK(reply.body == "early");
+    fixture.wait(std::chrono::milliseconds(50));
+    CHECK(fixture.closed);
+}
