--- a/tests/unit/ForwardFixture.h
+++ b/tests/unit/ForwardFixture.h
@@ -112,7 +112,8 @@
     /// Lists a target and makes it reachable.
     FakeTarget &addTarget(const std::string &id, const TargetPlace &place);
 
-    /// Adds \p count targets to each of the services \p prefix0 and so on, one here, one there, by turns.
+    /// Adds \p shards services named \p prefix and a number, with \p replicas targets each: the first here, others there.
+    /// \returns the names of the services.
     std::vector<std::string> addShards(const std::string &prefix, unsigned shards, unsigned replicas);
 
     /// Starts the host before anything is published.
