Waiting sends: no long idle connection for work that must not run twice, none left behind by a target that ends

Cause: serving a replica's queue looked for an idle connection as if every waiting send could be repeated, so a send of work that must not run twice was given a connection idle for more than two seconds, which its target may be about to close. Sends that waited when their target was removed, or its address turned out to belong to another one, stayed in the queue until their callers' timer moved them (150 ms). Ruled out: the path of a connection that has just answered or connected; it is fresh by then. Change: the idle connection must suit all that waits; an end of the target ends its waiting sends as never sent, so their callers move on at once. Room for a new connection is made wherever the queue is served. Removed what nothing used: released flag, age of an estimate, clock of the registry, accessors of the discovery controller and of the host's counters; one constant for the reserve before a goal.

--- a/src/app/ForwardHost.cpp
+++ b/src/app/ForwardHost.cpp
@@ -22,7 +22,7 @@
     , pause_(environment.clock.bootNow())
     , serving_(environment.clock, environment.scheduler, journal_, settings_.shutdownAnnounce, settings_.shutdownLimit)
     , active_(serving_)
-    , registry_(environment.clock, journal_)
+    , registry_(journal_)
     , environment_{environment.clock,
                    environment.scheduler,
                    environment.transport,
@@ -140,11 +140,6 @@
     return journal_;
 }
 
-const Counters &ForwardHost::counters() const
-{
-    return counters_;
-}
-
 std::string ForwardHost::metrics() const
 {
     return counters_.exposition()
--- a/src/app/ForwardHost.h
+++ b/src/app/ForwardHost.h
@@ -54,7 +54,6 @@
     ForwardService &callers();
     ServingController &serving();
     Journal &journal();
-    const Counters &counters() const;
 
     /// \returns counters and the present sizes of what this host keeps, in the text exposition format.
     std::string metrics() const;
--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -53,16 +53,6 @@
     next();
 }
 
-bool DiscoveryController::everRead() const
-{
-    return everRead_;
-}
-
-std::optional<TimePoint> DiscoveryController::lastAnswer() const
-{
-    return lastAnswer_;
-}
-
 void DiscoveryController::next()
 {
     if (needsAll_) {
@@ -147,7 +137,6 @@
 
 void DiscoveryController::answered()
 {
-    lastAnswer_ = clock_.now();
     if (failures_ == 0) {
         return;
     }
--- a/src/discovery/DiscoveryController.h
+++ b/src/discovery/DiscoveryController.h
@@ -32,12 +32,6 @@
     /// \brief Asks again at once, dropping the running call; after the process was suspended.
     void refresh();
 
-    /// \returns whether a full reading was ever taken over.
-    bool everRead() const;
-
-    /// \returns when the source last answered, if ever.
-    std::optional<TimePoint> lastAnswer() const;
-
 private:
     void readAll(Freshness freshness);
     void allRead(Freshness freshness, const DiscoveryReading &reading);
@@ -61,8 +55,7 @@
     std::int64_t revision_ = 0;
     bool needsAll_ = true; // Whether the next call must be a full reading.
     bool everRead_ = false;
-    unsigned failures_ = 0; // In a row.
-    std::optional<TimePoint> lastAnswer_;
+    unsigned failures_ = 0;             // In a row.
     std::optional<TimePoint> regained_; // When calls succeeded again after failures.
     TimerId timer_ = TimerId::None;
     TimerId lapseTimer_ = TimerId::None;
--- a/src/discovery/Registry.cpp
+++ b/src/discovery/Registry.cpp
@@ -19,9 +19,8 @@
 
 } // namespace
 
-Registry::Registry(const Clock &clock, Journal &journal)
-    : clock_(clock)
-    , journal_(journal)
+Registry::Registry(Journal &journal)
+    : journal_(journal)
 {
 }
 
--- a/src/discovery/Registry.h
+++ b/src/discovery/Registry.h
@@ -3,7 +3,6 @@
  */
 #pragma once
 
-#include "core/Clock.h"
 #include "core/Journal.h"
 #include "discovery/DiscoverySource.h"
 
@@ -28,7 +27,7 @@
         std::function<void()> readingApplied; ///< After all changes of one reading.
     };
 
-    Registry(const Clock &clock, Journal &journal);
+    explicit Registry(Journal &journal);
 
     void setListener(Listener listener);
 
@@ -53,7 +52,6 @@
     void setEvacuated(const std::string &zone, bool evacuated);
     void removeMissing(const DiscoveryReading &reading, bool keepLapsed);
 
-    const Clock &clock_;
     Journal &journal_;
     Listener listener_;
     RoutingTablePtr table_; // Invariant: its version never decreases.
--- a/src/forward/ForwardLimits.h
+++ b/src/forward/ForwardLimits.h
@@ -9,6 +9,9 @@
 
 namespace magnoliaspan {
 
+/// The merge and the way back to the caller: what comes in this long before a goal is still in time.
+inline constexpr Duration goalReserve = std::chrono::milliseconds(12);
+
 /// \brief Bounds of a deployment; replaced when the settings change.
 struct ForwardLimits {
     unsigned hosts = 1;            ///< Hosts that share the bounds, counted high rather than low.
--- a/src/forward/ForwardOperation.cpp
+++ b/src/forward/ForwardOperation.cpp
@@ -17,8 +17,6 @@
 constexpr unsigned statusBadGateway = 502;
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusGatewayTimeout = 504;
-// The merge and the way back to the caller, so that an answer at the goal is still in time.
-constexpr Duration goalReserve = std::chrono::milliseconds(12);
 // A target that is not listed yet registers within about this time of its start.
 constexpr Duration unlistedRetry = std::chrono::seconds(1);
 constexpr Duration leastRetry = std::chrono::milliseconds(50);
--- a/src/forward/LatencyEstimate.cpp
+++ b/src/forward/LatencyEstimate.cpp
@@ -42,12 +42,4 @@
     return renewedAt_ ? std::optional(Duration(static_cast<Duration::rep>(mean_))) : std::nullopt;
 }
 
-std::optional<Duration> LatencyEstimate::age(TimePoint now) const
-{
-    if (!renewedAt_) {
-        return std::nullopt;
-    }
-    return now - *renewedAt_;
-}
-
 } // namespace magnoliaspan
--- a/src/forward/LatencyEstimate.h
+++ b/src/forward/LatencyEstimate.h
@@ -23,9 +23,6 @@
     /// \returns the mean itself, nothing before the first observation.
     std::optional<Duration> mean() const;
 
-    /// \returns the time since the last observation, nothing before the first.
-    std::optional<Duration> age(TimePoint now) const;
-
 private:
     double mean_ = 0; // Microseconds.
     std::optional<TimePoint> renewedAt_;
--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -129,6 +129,15 @@
 void Replica::end()
 {
     ended_ = true;
+    failQueued();
+}
+
+// Their callers move on to other replicas.
+void Replica::failQueued()
+{
+    for (const SendId send : queue_.clear()) {
+        finish(send, {SendEnd::NeverSent, {}, {}});
+    }
 }
 
 bool Replica::ended() const
@@ -218,18 +227,14 @@
         return id;
     }
     queue_.push(id, send.queuedAt, send.order.goal);
-    if (!mayStart()) {
-        return id;
-    }
-    makeRoom();
     serveQueue();
     return id;
 }
 
-// Idle connections that a send may not use must not keep it from opening one.
+// Idle connections that no waiting send may use must not keep one of them from opening its own.
 void Replica::makeRoom()
 {
-    if (mayOpen()) {
+    if (mayOpen() || environment_.clock.now() < noConnectsUntil_) {
         return;
     }
     for (const auto &[id, pooled] : connections_) {
@@ -287,9 +292,7 @@
                                               error.message(),
                                               health_.connectFailures(),
                                               queue_.size()));
-        for (const SendId send : queue_.clear()) {
-            finish(send, {SendEnd::NeverSent, {}, {}});
-        }
+        failQueued();
         return;
     }
     health_.connected();
@@ -361,7 +364,7 @@
     result.answer = environment_.codec.decodeAnswer(std::move(reply));
     if (result.answer.otherTarget) {
         result.end = SendEnd::OtherTarget;
-        ended_ = true;
+        end();
         environment_.journal.note(
             Part::Target,
             "",
@@ -457,12 +460,14 @@
 
 void Replica::serveQueue()
 {
-    if (queue_.empty()) {
+    if (queue_.empty() || !mayStart()) {
         return;
     }
-    const ConnectionId idle = mayStart() ? idleConnection(true) : ConnectionId::None;
+    const ConnectionId idle = idleConnection(allQueuedRepeatable());
     if (idle != ConnectionId::None) {
         startQueued(idle);
+    } else {
+        makeRoom();
     }
     const auto connecting = static_cast<std::size_t>(
         std::count_if(connections_.begin(), connections_.end(), [](const auto &entry) { return entry.second.connecting; }));
@@ -471,6 +476,14 @@
     }
 }
 
+// Which send goes next is the queue's choice, so that one of work that must not run twice rules for all.
+bool Replica::allQueuedRepeatable() const
+{
+    return std::none_of(sends_.begin(), sends_.end(), [](const auto &entry) {
+        return entry.second.connection == ConnectionId::None && !entry.second.order.repeatable;
+    });
+}
+
 // The target closed an idle connection.
 void Replica::closed(ConnectionId id)
 {
@@ -550,7 +563,6 @@
     }
     send.order.handler = nullptr;
     send.order.request = nullptr;
-    send.released = true;
     const std::string kind = send.order.workKind;
     send.timer = environment_.scheduler.callAt(until, [this, alive = std::weak_ptr<int>(alive_), id, kind] {
         if (alive.expired()) {
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -85,7 +85,7 @@
     /// \brief Takes leave to send one request to a cold replica. \returns false when its share is used up.
     bool takeColdSend();
 
-    /// \brief Ends this start: its address belongs to another target.
+    /// \brief Ends this start: it is gone, or its address belongs to another target. Sends that wait end as never sent.
     void end();
     bool ended() const;
 
@@ -128,7 +128,6 @@
         bool alone = false;                           // Whether no other send of this host ran when it was sent.
         ConnectionId connection = ConnectionId::None; // None while it waits for one.
         TimerId timer = TimerId::None;                // Ends a released send.
-        bool released = false;
     };
 
     struct PooledConnection {
@@ -159,6 +158,8 @@
     bool mayStart() const;
     void expireQueued();
     void startQueued(ConnectionId id);
+    bool allQueuedRepeatable() const;
+    void failQueued();
     void turnedAway();
     void serveQueue();
     void finish(SendId id, SendResult result);
--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -23,8 +23,6 @@
 constexpr Duration parkInterval = std::chrono::milliseconds(15);
 // A target that sheds has slots free again within some requests' time.
 constexpr Duration refusalInterval = std::chrono::milliseconds(40);
-// The way back to the caller and the merge.
-constexpr Duration goalReserve = std::chrono::milliseconds(12);
 
 long long milliseconds(Duration duration)
 {
