Hosts meet by datagrams and count themselves; requests that crash targets are refused by all

Cause: a fixed number of hosts (100) was taken to share the bounds of targets. Small deployments had a fourteenth of their extra sends, and a deployment of more than a hundred hosts would have gone beyond the bounds. A request that crashes each target that runs it was sent on for as long as callers came back with it. Ruled out: a number in the settings (hosts are added and taken away while the system runs); time stamps in datagrams (clocks jump; old news are superseded anyhow); counting only hosts that answer (both sides of a partition would take the whole bound); counting resets of new connections as crashes (targets that are full do that). Change: membership, a module of its own: probes, suspicion and denial, news handed on a number of times that grows with the logarithm of the hosts, seeds from the settings, a keyed hash. Hosts that are gone count for two hours, since they may only be cut off; a zone without a known host counts as large as the largest. The assumed number stands until the hosts are known. A change of the number keeps what budgets hold. A guard counts sends lost together once; three losses in a row without an answer, seen by any hosts, refuse the request for ten minutes; a target that answers within a second of the loss takes its evidence back.

--- a/src/app/ForwardCommand.cpp
+++ b/src/app/ForwardCommand.cpp
@@ -8,6 +8,7 @@
 #include "magnoliaspan/net.h"
 #include "net/ConnectionDrain.h"
 #include "net/LogWriter.h"
+#include "net/UdpPort.h"
 #include "platform/Adapter.h"
 
 #include <cstdio>
@@ -66,7 +67,8 @@
         , logger_("magnoliaspan", writer_)
         , codec_(platform::makeCodec())
         , discovery_(platform::makeDiscovery(clock_, loop_, transport_, settings.discoveryAddress))
-        , host_({clock_, loop_, transport_, *discovery_, *codec_, [this](std::string_view line) { logger_.info(line); }, seed()}, settings)
+        , host_({clock_, loop_, transport_, *discovery_, peers_, *codec_, [this](std::string_view line) { logger_.info(line); }, seed()},
+                settings)
         , ready_([this] { return readiness(host_); })
         , metrics_([this] {
             return ServiceReply{200, "text/plain; version=0.0.4", metricsText()};
@@ -82,7 +84,7 @@
     int run(const ForwardSettings &settings)
     {
         if (!listen(callerServer_, settings.callerAddress) || !listen(readyServer_, settings.readyAddress)
-            || !listen(metricsServer_, settings.metricsAddress)) {
+            || !listen(metricsServer_, settings.metricsAddress) || !listen(peers_, settings.peerAddress)) {
             return 1;
         }
         host_.onListenerLimits([this](const ListenerLimits &limits) { applyLimits(limits); });
@@ -104,7 +106,8 @@
         return (static_cast<std::uint64_t>(device()) << 32U) | device();
     }
 
-    bool listen(HttpServer &server, const Endpoint &endpoint)
+    template <typename Listener>
+    bool listen(Listener &server, const Endpoint &endpoint)
     {
         const std::error_code error = server.listen(endpoint);
         if (error) {
@@ -117,9 +120,11 @@
     std::string metricsText() const
     {
         return host_.metrics()
-               + fmt::format("magnoliaspan_caller_connections {}\nmagnoliaspan_log_lines_dropped_total {}\n",
+               + fmt::format("magnoliaspan_caller_connections {}\nmagnoliaspan_log_lines_dropped_total {}\n"
+                             "magnoliaspan_peer_datagrams_unsent_total {}\n",
                              callerServer_.connections(),
-                             writer_->dropped());
+                             writer_->dropped(),
+                             peers_.failed());
     }
 
     void applyLimits(const ListenerLimits &limits)
@@ -174,6 +179,7 @@
     SystemClock clock_;
     EventLoop loop_{clock_};
     HttpTransport transport_{loop_};
+    UdpPort peers_{loop_};
     std::string settingsFile_;
     std::string settingsText_; // As last read.
     Duration shutdownLimit_;
--- a/src/app/ForwardHost.cpp
+++ b/src/app/ForwardHost.cpp
@@ -12,6 +12,22 @@
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
 constexpr Duration replicaTickInterval = std::chrono::milliseconds(200);
 
+GossipSettings gossipSettings(const ForwardSettings &settings, const Clock &clock)
+{
+    GossipSettings result;
+    result.self.name = settings.host;
+    result.self.zone = settings.zone;
+    result.self.address = settings.peerAddress;
+    result.self.incarnation = static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count());
+    result.seeds = settings.seeds;
+    for (const auto &[zone, region] : settings.regionOfZone) {
+        result.zones.insert(zone);
+    }
+    result.key = settings.peerKey;
+    result.assumedHosts = settings.limits.hosts;
+    return result;
+}
+
 } // namespace
 
 ForwardHost::ForwardHost(const ForwardHostEnvironment &environment, ForwardSettings settings)
@@ -23,12 +39,21 @@
     , serving_(environment.clock, environment.scheduler, journal_, settings_.shutdownAnnounce, settings_.shutdownLimit)
     , active_(serving_)
     , registry_(journal_)
+    , crashes_(environment.clock, journal_, counters_)
+    , gossip_(environment.clock,
+              environment.scheduler,
+              journal_,
+              counters_,
+              environment.peers,
+              gossipSettings(settings_, environment.clock),
+              environment.seed + 2)
     , environment_{environment.clock,
                    environment.scheduler,
                    environment.transport,
                    journal_,
                    counters_,
                    environment.codec,
+                   crashes_,
                    environment.seed}
     , replicas_(environment_, registry_, {settings_.zone, settings_.regionOfZone}, settings_.limits)
     , discovery_(environment.clock,
@@ -41,6 +66,7 @@
     , callers_(environment_, registry_, replicas_, active_, environment.seed + 1)
 {
     connectRegistry();
+    connectGossip();
 }
 
 ForwardHost::~ForwardHost()
@@ -65,27 +91,38 @@
     registry_.setListener(std::move(listener));
 }
 
+void ForwardHost::connectGossip()
+{
+    gossip_.onHosts([this](unsigned hosts) { replicas_.setHosts(hosts); });
+    gossip_.onCrash([this](const CrashReport &report) { crashes_.heard(report); });
+    crashes_.onLoss([this](const CrashReport &report) { gossip_.report(report); });
+}
+
 void ForwardHost::start()
 {
     journal_.note(
         Part::Shutdown, "", fmt::format("host started host={} zone={} hosts={}", settings_.host, settings_.zone, settings_.limits.hosts));
     discovery_.start();
+    gossip_.start();
     scheduleTick();
 }
 
 void ForwardHost::stop()
 {
     serving_.stop();
+    gossip_.leave();
 }
 
 void ForwardHost::reload(const ForwardSettings &settings)
 {
     settings_.limits = settings.limits;
-    replicas_.setLimits(settings.limits);
+    settings_.limits.hosts = gossip_.hosts();
+    replicas_.setLimits(settings_.limits);
+    gossip_.setSeeds(settings.seeds);
     journal_.note(Part::Shutdown,
                   "",
                   fmt::format("settings reloaded hosts={} extra_send_ratio={} extra_send_slack={} cold_slack={}",
-                              settings.limits.hosts,
+                              settings_.limits.hosts,
                               settings.limits.extraSendRatio,
                               settings.limits.extraSendSlack,
                               settings.limits.coldSlack));
@@ -122,6 +159,7 @@
     if (now >= nextReplicaTick_) {
         nextReplicaTick_ = now + replicaTickInterval;
         replicas_.tick();
+        crashes_.tick();
     }
 }
 
@@ -144,11 +182,13 @@
 {
     return counters_.exposition()
            + fmt::format("magnoliaspan_requests_in_flight {}\nmagnoliaspan_replicas {}\nmagnoliaspan_target_connections {}\n"
-                         "magnoliaspan_table_version {}\n",
+                         "magnoliaspan_table_version {}\nmagnoliaspan_hosts {}\nmagnoliaspan_hosts_alive {}\n",
                          active_.count(),
                          replicas_.size(),
                          replicas_.connections(),
-                         registry_.table() ? registry_.table()->version() : 0);
+                         registry_.table() ? registry_.table()->version() : 0,
+                         gossip_.hosts(),
+                         gossip_.alive() + 1);
 }
 
 } // namespace magnoliaspan
--- a/src/app/ForwardHost.h
+++ b/src/app/ForwardHost.h
@@ -9,7 +9,9 @@
 #include "control/PauseDetector.h"
 #include "control/ServingController.h"
 #include "discovery/DiscoveryController.h"
+#include "forward/CrashGuard.h"
 #include "forward/ForwardService.h"
+#include "membership/GossipController.h"
 
 #include <functional>
 #include <memory>
@@ -22,6 +24,7 @@
     Scheduler &scheduler;
     Transport &transport;
     DiscoverySource &discovery;
+    DatagramPort &peers;
     const ForwardCodec &codec;
     Journal::Sink logSink;
     std::uint64_t seed = 0; ///< Of all random choices.
@@ -42,7 +45,7 @@
     /// \brief Begins the graceful end; \sa ServingController::stop.
     void stop();
 
-    /// \brief Takes over settings that may change while the process runs: the limits.
+    /// \brief Takes over settings that may change while the process runs: the limits and the seeds.
     void reload(const ForwardSettings &settings);
 
     /// \brief Calls \p listener with each new bound on what callers may send.
@@ -60,6 +63,7 @@
 
 private:
     void connectRegistry();
+    void connectGossip();
     void tick();
     void scheduleTick();
 
@@ -72,6 +76,8 @@
     ServingController serving_;
     ActiveRequests active_;
     Registry registry_;
+    CrashGuard crashes_;
+    GossipController gossip_;
     ForwardEnvironment environment_;
     ReplicaController replicas_;
     DiscoveryController discovery_;
--- a/src/config/ForwardSettings.cpp
+++ b/src/config/ForwardSettings.cpp
@@ -14,7 +14,7 @@
 ForwardLimits limitsOf(const DocumentNode &root)
 {
     ForwardLimits limits;
-    limits.hosts = static_cast<unsigned>(root.integer("hosts"));
+    limits.hosts = static_cast<unsigned>(root.integer("assumed_hosts"));
     limits.extraSendRatio = root.fraction("extra_send_ratio");
     limits.extraSendSlack = root.fraction("extra_send_slack");
     limits.coldFactor = root.fraction("cold_factor");
@@ -23,6 +23,23 @@
     return limits;
 }
 
+// A seed is named by any address of its host.
+std::optional<std::vector<Endpoint>> seedsOf(std::string_view text, std::uint16_t peerPort)
+{
+    std::vector<Endpoint> seeds;
+    while (!text.empty()) {
+        const auto comma = text.find(',');
+        auto seed = Endpoint::parse(text.substr(0, comma));
+        if (!seed) {
+            return std::nullopt;
+        }
+        seed->port = peerPort;
+        seeds.push_back(*seed);
+        text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+    }
+    return seeds;
+}
+
 } // namespace
 
 std::optional<ForwardSettings> ForwardSettings::parse(std::string_view text, const std::string &file, Diagnostics &diagnostics)
@@ -41,6 +58,8 @@
     settings.readyAddress = root.endpoint("ready_address");
     settings.metricsAddress = root.endpoint("metrics_address");
     settings.discoveryAddress = root.endpoint("discovery_address");
+    settings.peerAddress = root.endpoint("peer_address");
+    settings.peerKey = root.text("peer_key");
     settings.logLevel = root.text("log_level");
     settings.logLinesPerSecond = static_cast<std::size_t>(root.integer("log_lines_per_second"));
     settings.watchTime = root.duration("watch_time");
@@ -52,6 +71,12 @@
         diagnostics.push_back({file, root.line("zone"), "zone", fmt::format("'{}' is not among the zones", settings.zone)});
         return std::nullopt;
     }
+    const auto seeds = seedsOf(root.text("seeds"), settings.peerAddress.port);
+    if (!seeds) {
+        diagnostics.push_back({file, root.line("seeds"), "seeds", "must be IP:PORT, or several of them with commas between"});
+        return std::nullopt;
+    }
+    settings.seeds = *seeds;
     return settings;
 }
 
--- a/src/config/ForwardSettings.h
+++ b/src/config/ForwardSettings.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace magnoliaspan {
 
@@ -25,6 +26,9 @@
     Endpoint readyAddress;
     Endpoint metricsAddress;
     Endpoint discoveryAddress;
+    Endpoint peerAddress;        ///< Datagrams of other hosts; their port is the same.
+    std::vector<Endpoint> seeds; ///< Peer addresses of hosts to meet first.
+    std::string peerKey;         ///< Shared by all hosts of the deployment.
     std::string logLevel;
     std::size_t logLinesPerSecond = 0;
     Duration watchTime{};
--- a/src/control/Budget.cpp
+++ b/src/control/Budget.cpp
@@ -22,6 +22,13 @@
     ratio_ = ratio;
 }
 
+void Budget::setBounds(double ratio, double burst)
+{
+    setRatio(ratio);
+    burst_ = burst;
+    tokens_ = std::min(tokens_, burst);
+}
+
 void Budget::earn()
 {
     tokens_ = std::min(burst_, tokens_ + ratio_);
--- a/src/control/Budget.h
+++ b/src/control/Budget.h
@@ -15,6 +15,9 @@
 
     void setRatio(double ratio);
 
+    /// \brief Replaces both bounds; tokens held are kept, up to the new burst.
+    void setBounds(double ratio, double burst);
+
     /// \brief Tells of one ordinary request.
     void earn();
 
--- a/src/core/Endpoint.h
+++ b/src/core/Endpoint.h
@@ -16,6 +16,7 @@
     std::string address;
     std::uint16_t port = 0;
 
+    // clang-tidy 14 takes the zero that is compared with here for a pointer. NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const Endpoint &) const = default;
 
     /// \returns the endpoint written as ADDRESS:PORT, or nothing when \p text is not one.
--- a/src/forward/ForwardEnvironment.h
+++ b/src/forward/ForwardEnvironment.h
@@ -7,6 +7,7 @@
 #include "core/Counters.h"
 #include "core/Journal.h"
 #include "core/Scheduler.h"
+#include "forward/CrashGuard.h"
 #include "forward/ForwardCodec.h"
 #include "transport/Transport.h"
 
@@ -22,6 +23,7 @@
     Journal &journal;
     Counters &counters;
     const ForwardCodec &codec;
+    CrashGuard &crashes;
     std::uint64_t seed = 0; ///< Of what must differ between hosts.
 };
 
--- a/src/forward/ForwardService.cpp
+++ b/src/forward/ForwardService.cpp
@@ -31,6 +31,11 @@
     return target.substr(0, target.find('?'));
 }
 
+Fingerprint fingerprintOfRequest(const ForwardRequest &request)
+{
+    return fingerprintOf(request.host, fmt::format("{} {}\n{}", request.method, request.target, request.body));
+}
+
 } // namespace
 
 ForwardService::ForwardService(const ForwardEnvironment &environment,
@@ -79,7 +84,7 @@
                       route.destination);
 }
 
-std::shared_ptr<CallContext> ForwardService::contextOf(ForwardRequest &&request, const Route &route)
+std::shared_ptr<CallContext> ForwardService::contextOf(ForwardRequest &&request, Fingerprint fingerprint, const Route &route)
 {
     const TimePoint now = environment_.clock.now();
     const Duration patience = request.timeLeft.value_or(route.timeout);
@@ -87,6 +92,7 @@
     Duration &longest = longestPatience_[route.name];
     longest = std::max(longest, patience);
     auto context = std::make_shared<CallContext>();
+    context->fingerprint = fingerprint;
     context->request = std::move(request);
     context->table = registry_.table();
     context->route = &route;
@@ -166,6 +172,11 @@
         handler(refuse(request, statusBadRequest, "no request id", std::nullopt));
         return {};
     }
+    const Fingerprint fingerprint = fingerprintOfRequest(request);
+    if (const auto until = environment_.crashes.refusedUntil(fingerprint)) {
+        handler(refuse(request, statusUnavailable, "request crashed targets before", *until - environment_.clock.now()));
+        return {};
+    }
     if (active_.count() >= replicas_.limits().maxInFlight) {
         handler(refuse(request, statusUnavailable, "too many requests in flight", busyRetry));
         return {};
@@ -176,8 +187,12 @@
         const auto operation = operations_.extract(number);
         handler(std::move(reply));
     };
-    auto operation = std::make_shared<ForwardOperation>(
-        environment_, replicas_, contextOf(std::move(request), *route), std::move(planned.services), planned.shards, std::move(finished));
+    auto operation = std::make_shared<ForwardOperation>(environment_,
+                                                        replicas_,
+                                                        contextOf(std::move(request), fingerprint, *route),
+                                                        std::move(planned.services),
+                                                        planned.shards,
+                                                        std::move(finished));
     operations_.emplace(number, operation);
     operation->start();
     return [this, number] {
--- a/src/forward/ForwardService.h
+++ b/src/forward/ForwardService.h
@@ -48,7 +48,7 @@
 
     ServiceReply refuse(const ForwardRequest &request, unsigned status, std::string_view cause, std::optional<Duration> retryAfter);
     Plan plan(const Route &route);
-    std::shared_ptr<CallContext> contextOf(ForwardRequest &&request, const Route &route);
+    std::shared_ptr<CallContext> contextOf(ForwardRequest &&request, Fingerprint fingerprint, const Route &route);
 
     const ForwardEnvironment &environment_;
     Registry &registry_;
--- a/src/forward/ReplicaController.cpp
+++ b/src/forward/ReplicaController.cpp
@@ -24,9 +24,8 @@
 // Part of the published ratio of extra sends that is used; the rest covers requests counted in other windows.
 constexpr double ratioUsed = 0.9;
 constexpr double slackUsed = 0.8;
-// A host can always send again after two failures in a row; ninety hosts stay below the smallest slack of deployments
-// of their size, two hundred.
-constexpr double leastBurst = 2;
+// Below one token nothing could ever be sent again.
+constexpr double leastBurst = 1;
 
 } // namespace
 
@@ -50,10 +49,29 @@
 void ReplicaController::setLimits(const ForwardLimits &limits)
 {
     limits_ = limits;
-    budgets_.clear();
+    shareChanged();
+}
+
+void ReplicaController::setHosts(unsigned hosts)
+{
+    limits_.hosts = hosts;
+    shareChanged();
+}
+
+// What a budget held is kept: a change of the hosts gives no leave for more sends at once.
+void ReplicaController::shareChanged()
+{
+    for (auto &[service, budget] : budgets_) {
+        budget.setBounds(ratioUsed * limits_.extraSendRatio, extraSendBurst());
+    }
     tableAccepted();
 }
 
+double ReplicaController::extraSendBurst() const
+{
+    return std::max(leastBurst, slackUsed * limits_.extraSendSlack / std::max(1U, limits_.hosts));
+}
+
 const ForwardLimits &ReplicaController::limits() const
 {
     return limits_;
@@ -268,8 +286,7 @@
     if (found != budgets_.end()) {
         return found->second;
     }
-    const double burst = std::max(leastBurst, slackUsed * limits_.extraSendSlack / std::max(1U, limits_.hosts));
-    return budgets_.emplace(std::string(service), Budget(ratioUsed * limits_.extraSendRatio, burst)).first->second;
+    return budgets_.emplace(std::string(service), Budget(ratioUsed * limits_.extraSendRatio, extraSendBurst())).first->second;
 }
 
 void ReplicaController::tick()
--- a/src/forward/ReplicaController.h
+++ b/src/forward/ReplicaController.h
@@ -42,6 +42,9 @@
     ReplicaController(const ForwardEnvironment &environment, Registry &registry, HostPlace place, const ForwardLimits &limits);
 
     void setLimits(const ForwardLimits &limits);
+
+    /// \brief Tells how many hosts share the bounds now.
+    void setHosts(unsigned hosts);
     const ForwardLimits &limits() const;
 
     /// \brief Follows the registry; to be called by its listener.
@@ -83,6 +86,8 @@
     using ReplicaList = std::vector<std::shared_ptr<Replica>>;
     using Replicas = std::map<std::string, std::shared_ptr<Replica>, std::less<>>;
 
+    void shareChanged();
+    double extraSendBurst() const;
     ReplicaLimits limitsFor(const TargetEntry &entry) const;
     bool usable(const Replica &replica, const ReplicaQuery &query) const;
     void index(const TargetEntry &entry);
--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -118,6 +118,9 @@
 
 bool ShardCall::mayRunAgain() const
 {
+    if (environment_.crashes.refusedUntil(context_->fingerprint)) {
+        return false;
+    }
     const bool repeatable = context_->route->repeatability == Repeatability::Idempotent;
     const auto running = static_cast<unsigned>(running_.size());
     if (!repeatable) {
@@ -193,6 +196,7 @@
     }
     const Attempt attempt = *found;
     running_.erase(found);
+    tellCrashGuard(attempt, result);
     const bool left = result.end != SendEnd::NeverSent;
     if (result.end == SendEnd::TurnedAway) {
         arrivals_ -= std::min(arrivals_, 1U);
@@ -225,6 +229,21 @@
     afterFailure();
 }
 
+void ShardCall::tellCrashGuard(const Attempt &attempt, const SendResult &result)
+{
+    CrashGuard &crashes = environment_.crashes;
+    if (result.end == SendEnd::Lost) {
+        crashes.lost(context_->fingerprint, attempt.replica->entry(), environment_.clock.now() - result.elapsed);
+        return;
+    }
+    if (result.end == SendEnd::Answered || result.end == SendEnd::NotRun) {
+        crashes.answered(attempt.replica->entry());
+    }
+    if (result.end == SendEnd::Answered) {
+        crashes.completed(context_->fingerprint);
+    }
+}
+
 void ShardCall::afterFailure()
 {
     if (mayRunAgain() && sendNext(Reason::Failed)) {
--- a/src/forward/ShardCall.h
+++ b/src/forward/ShardCall.h
@@ -18,7 +18,8 @@
 /// \brief What a call needs of its request; outlives the call.
 struct CallContext {
     ForwardRequest request;
-    RoutingTablePtr table; ///< In force when the request arrived; keeps route alive.
+    Fingerprint fingerprint{}; ///< Of what the request asks, whoever asks it.
+    RoutingTablePtr table;     ///< In force when the request arrived; keeps route alive.
     const Route *route = nullptr;
     TimePoint deadline; ///< When the caller or the operators stop waiting.
     TimePoint goal;     ///< When the answer loses most of its use; earlier than now when it has.
@@ -81,6 +82,7 @@
     void arm();
     void secondDue();
     void ended(std::uint64_t number, SendResult result);
+    void tellCrashGuard(const Attempt &attempt, const SendResult &result);
     void afterFailure();
     void finish(CallResult result);
     void dropAttempts(bool callerLeft);
--- /dev/null
+++ b/src/membership/FreshNews.h
@@ -0,0 +1,53 @@
+/*
+ * Part membership: news that are still to be handed on.
+ */
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <vector>
+
+namespace magnoliaspan {
+
+/// \brief Names the news to send along, the least often sent first; each is handed on a bounded number of times.
+/// With a number that grows with the logarithm of the hosts, news reach all of them with high probability (Das, Gupta and
+/// Motivala, "SWIM", 2002).
+template <typename Key>
+class FreshNews
+{
+public:
+    void add(const Key &key)
+    {
+        sent_[key] = 0;
+    }
+
+    bool empty() const
+    {
+        return sent_.empty();
+    }
+
+    /// \brief Counts one more sending of each of those returned.
+    /// \param limit of the news returned.
+    /// \param times each is handed on at most.
+    std::vector<Key> take(std::size_t limit, unsigned times)
+    {
+        std::vector<Key> keys;
+        for (const auto &[key, sent] : sent_) {
+            keys.push_back(key);
+        }
+        std::stable_sort(keys.begin(), keys.end(), [this](const Key &a, const Key &b) { return sent_.at(a) < sent_.at(b); });
+        keys.resize(std::min(keys.size(), limit));
+        for (const Key &key : keys) {
+            if (++sent_.at(key) >= times) {
+                sent_.erase(key);
+            }
+        }
+        return keys;
+    }
+
+private:
+    std::map<Key, unsigned> sent_; // How often each was handed on.
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/membership/GossipController.h
@@ -0,0 +1,122 @@
+/*
+ * Part membership: which hosts there are, found from a few seeds and kept by probes.
+ *
+ * Each host probes one other at a time and hands news on with every datagram (Das, Gupta and Motivala, "SWIM", 2002). A
+ * host that does not answer is suspect; unless it denies that in time it counts as gone. There is no probe by way of
+ * others: a suspicion travels to its host by way of those that reach it, and so does the denial back.
+ */
+#pragma once
+
+#include "core/Counters.h"
+#include "core/Journal.h"
+#include "core/Scheduler.h"
+#include "membership/FreshNews.h"
+#include "membership/MemberTable.h"
+#include "membership/PeerDatagram.h"
+#include "transport/DatagramPort.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace magnoliaspan {
+
+/// \brief What a host knows of the deployment's hosts before it meets any.
+struct GossipSettings {
+    Member self;                 ///< With the wall time of the start as its incarnation.
+    std::vector<Endpoint> seeds; ///< Hosts to meet first; this one may be among them.
+    std::set<std::string> zones; ///< Of the deployment.
+    std::string key;             ///< Shared by all hosts.
+    unsigned assumedHosts = 1;   ///< Counted until the hosts are known.
+};
+
+/// \brief Meets other hosts, watches them, and hands news on.
+class GossipController
+{
+public:
+    GossipController(const Clock &clock,
+                     Scheduler &scheduler,
+                     Journal &journal,
+                     Counters &counters,
+                     DatagramPort &port,
+                     GossipSettings settings,
+                     std::uint64_t seed);
+    ~GossipController();
+    GossipController(const GossipController &) = delete;
+    GossipController &operator=(const GossipController &) = delete;
+
+    void start();
+
+    /// \brief Tells others that this host ends.
+    void leave();
+
+    /// \brief Takes over settings that may change while the process runs: the seeds.
+    void setSeeds(std::vector<Endpoint> seeds);
+
+    /// \brief Tells others of a lost target; they hear of each once.
+    void report(const CrashReport &crash);
+
+    /// \brief Calls \p listener with each report heard for the first time.
+    void onCrash(std::function<void(const CrashReport &)> listener);
+
+    /// \brief Calls \p listener whenever the number of hosts that share the bounds changes.
+    void onHosts(std::function<void(unsigned hosts)> listener);
+
+    /// \returns hosts that share the bounds of the targets, counted high rather than low.
+    unsigned hosts() const;
+
+    /// \returns other hosts that may be alive.
+    std::size_t alive() const;
+
+private:
+    void tick();
+    void probe();
+    void meetSeeds();
+    void probeLater(const Endpoint &to, const std::string &name);
+    void unanswered(std::uint64_t number);
+    void received(std::string_view text);
+    void learn(const Member &news);
+    void learnOfSelf(const Member &news);
+    void hear(const CrashReport &crash);
+    bool spread(const CrashReport &crash);
+    void expireSuspects();
+    PeerDatagram compose(PeerPurpose purpose, const Member *to);
+    void send(const Endpoint &to, const PeerDatagram &datagram);
+    void pushSoon();
+    void push();
+    bool settled() const;
+    bool alone() const;
+    unsigned timesHandedOn() const;
+    void countHosts();
+
+    const Clock &clock_;
+    Scheduler &scheduler_;
+    Journal &journal_;
+    Counters &counters_;
+    DatagramPort &port_;
+    GossipSettings settings_;
+    PeerDatagramCodec codec_;
+    MemberTable table_;
+    FreshNews<std::string> freshMembers_;
+    FreshNews<CrashReport> freshCrashes_;
+    std::map<CrashReport, TimePoint> heardCrashes_;          // When each was first heard.
+    std::map<std::string, TimePoint, std::less<>> suspects_; // When each counts as gone.
+    std::map<std::uint64_t, std::string> probes_;            // Unanswered, by number; the name is empty for a seed.
+    std::uint64_t lastProbe_ = 0;
+    std::optional<TimePoint> lastNewcomer_; // When a host was last met for the first time.
+    TimePoint nextProbe_{};
+    TimePoint nextLostTrial_{};
+    unsigned hosts_ = 0;
+    bool known_ = false;   // Whether the hosts were ever all known; newcomers are counted on top from then on.
+    bool pushing_ = false; // Whether a push is scheduled.
+    std::function<void(const CrashReport &)> crashListener_;
+    std::function<void(unsigned)> hostsListener_;
+    TimerId timer_ = TimerId::None;
+    std::shared_ptr<int> alive_; // Handlers hold it weakly, so that none outlives the controller.
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/membership/Member.cpp
@@ -0,0 +1,30 @@
+/*
+ * Part membership: the order of news on one host.
+ */
+#include "membership/Member.h"
+
+#include <tuple>
+
+namespace magnoliaspan {
+
+std::string_view toString(HostState state)
+{
+    switch (state) {
+    case HostState::Alive:
+        return "alive";
+    case HostState::Suspect:
+        return "suspect";
+    case HostState::Gone:
+        return "gone";
+    case HostState::Left:
+        break;
+    }
+    return "left";
+}
+
+bool supersedes(const Member &news, const Member &known)
+{
+    return std::tie(news.incarnation, news.state) > std::tie(known.incarnation, known.state);
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/membership/MemberTable.h
@@ -0,0 +1,73 @@
+/*
+ * Part membership: all hosts that this host has heard of, itself among them.
+ */
+#pragma once
+
+#include "core/Time.h"
+#include "membership/Member.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace magnoliaspan {
+
+/// \brief Keeps the newest news on each host and counts those that share the bounds of the targets.
+class MemberTable
+{
+public:
+    /// \param self this host.
+    MemberTable(Member self, std::uint64_t seed);
+
+    const Member &self() const;
+
+    /// \brief Raises this host's incarnation above \p incarnation.
+    void outlive(std::uint64_t incarnation);
+
+    /// \brief Changes this host's own state; after Left it only tells others.
+    void leave();
+
+    /// \brief Takes over news on another host. \returns whether they were new.
+    bool learn(const Member &news, TimePoint now);
+
+    /// \returns what is known of \p name, or null.
+    const Member *find(std::string_view name) const;
+
+    /// \brief Chooses whom to probe; each host that may be alive comes up once in a round, in random order.
+    const Member *nextProbe();
+
+    /// \brief Chooses a host that does not answer, to be tried again: a cut-off part is found again by this.
+    const Member *anyLost();
+
+    /// \returns up to \p count other hosts that may be alive, at random.
+    std::vector<Member> sample(std::size_t count);
+
+    /// \returns the hosts that share the bounds of the targets, this one included: those that may be alive, and for a
+    /// while those that are gone, which may only be cut off and still send. A zone of \p zones without any host counts as
+    /// large as the largest that is known.
+    unsigned sharing(const std::set<std::string> &zones, TimePoint now) const;
+
+    /// \returns other hosts that may be alive.
+    std::size_t alive() const;
+
+    /// \brief Forgets hosts that have long been gone.
+    void forget(TimePoint now);
+
+private:
+    struct Record {
+        Member member;
+        TimePoint changedAt; // When its state was last taken over.
+    };
+
+    static bool mayBeAlive(const Member &member);
+    static bool counts(const Record &record, TimePoint now);
+
+    Member self_;
+    std::mt19937_64 random_;
+    std::map<std::string, Record, std::less<>> others_; // By name.
+    std::vector<std::string> round_;                    // Still to be probed in this round.
+};
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/membership/PeerDatagram.cpp
@@ -0,0 +1,121 @@
+/*
+ * Part membership: datagrams as arrays of JSON, without field names to keep them short.
+ */
+#include "membership/PeerDatagram.h"
+
+#include "core/Hmac.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace magnoliaspan {
+
+namespace {
+
+using nlohmann::json;
+
+// Raised when the meaning of a field changes; hosts of another version are not understood.
+constexpr int formatVersion = 1;
+// Half of a SHA-256 is out of reach for guessing, and short.
+constexpr std::size_t digestDigits = 32;
+// Commas, quotes and brackets around a member's six fields, and the longest incarnation.
+constexpr std::size_t memberOverhead = 40;
+
+json toJson(const Member &member)
+{
+    return json::array({member.name, member.zone, member.address.toString(), member.incarnation, static_cast<int>(member.state)});
+}
+
+// Throws json::exception or std::invalid_argument.
+Member memberOf(const json &fields)
+{
+    Member member;
+    member.name = fields.at(0).get<std::string>();
+    member.zone = fields.at(1).get<std::string>();
+    const auto address = Endpoint::parse(fields.at(2).get<std::string>());
+    const int state = fields.at(4).get<int>();
+    if (!address || member.name.empty() || state < 0 || state > static_cast<int>(HostState::Left)) {
+        throw std::invalid_argument("a member's field is out of range");
+    }
+    member.address = *address;
+    member.incarnation = fields.at(3).get<std::uint64_t>();
+    member.state = static_cast<HostState>(state);
+    return member;
+}
+
+// Throws json::exception or std::invalid_argument.
+PeerDatagram datagramOf(const json &fields)
+{
+    if (fields.at(0).get<int>() != formatVersion) {
+        throw std::invalid_argument("another version of the format");
+    }
+    PeerDatagram datagram;
+    const int purpose = fields.at(1).get<int>();
+    if (purpose < 0 || purpose > static_cast<int>(PeerPurpose::News)) {
+        throw std::invalid_argument("unknown purpose");
+    }
+    datagram.purpose = static_cast<PeerPurpose>(purpose);
+    datagram.number = fields.at(2).get<std::uint64_t>();
+    datagram.sender = memberOf(fields.at(3));
+    for (const json &member : fields.at(4)) {
+        datagram.members.push_back(memberOf(member));
+    }
+    for (const json &crash : fields.at(5)) {
+        datagram.crashes.push_back({Fingerprint{crash.at(0).get<std::uint64_t>()}, crash.at(1).get<std::uint64_t>()});
+    }
+    return datagram;
+}
+
+} // namespace
+
+PeerDatagramCodec::PeerDatagramCodec(std::string key)
+    : key_(std::move(key))
+{
+}
+
+std::size_t PeerDatagramCodec::sizeOf(const Member &member)
+{
+    return member.name.size() + member.zone.size() + member.address.address.size() + memberOverhead;
+}
+
+std::string PeerDatagramCodec::encode(const PeerDatagram &datagram) const
+{
+    json members = json::array();
+    for (const Member &member : datagram.members) {
+        members.push_back(toJson(member));
+    }
+    json crashes = json::array();
+    for (const CrashReport &crash : datagram.crashes) {
+        crashes.push_back({static_cast<std::uint64_t>(crash.request), crash.loss});
+    }
+    const std::string body = json::array({formatVersion,
+                                          static_cast<int>(datagram.purpose),
+                                          datagram.number,
+                                          toJson(datagram.sender),
+                                          std::move(members),
+                                          std::move(crashes)})
+                                 .dump(-1, ' ', false, json::error_handler_t::replace);
+    return fmt::format("{} {}", hmacSha256(key_, body).substr(0, digestDigits), body);
+}
+
+std::optional<PeerDatagram> PeerDatagramCodec::decode(std::string_view text, std::string &reason) const
+{
+    if (text.size() <= digestDigits || text[digestDigits] != ' ') {
+        reason = "no keyed hash";
+        return std::nullopt;
+    }
+    const std::string_view body = text.substr(digestDigits + 1);
+    if (!sameDigest(text.substr(0, digestDigits), std::string_view(hmacSha256(key_, body)).substr(0, digestDigits))) {
+        reason = "the keyed hash does not fit";
+        return std::nullopt;
+    }
+    try {
+        return datagramOf(json::parse(body));
+    } catch (const std::exception &error) {
+        reason = error.what();
+        return std::nullopt;
+    }
+}
+
+} // namespace magnoliaspan
--- /dev/null
+++ b/src/net/UdpPort.cpp
@@ -0,0 +1,103 @@
+/*
+ * Part net: datagrams over Boost.Asio.
+ */
+#include "net/UdpPort.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+namespace magnoliaspan {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+// The largest that UDP over IPv4 carries.
+constexpr std::size_t maxDatagram = 65'507;
+
+} // namespace
+
+class UdpPort::Impl : public std::enable_shared_from_this<UdpPort::Impl>
+{
+public:
+    explicit Impl(asio::io_context &context)
+        : socket(context)
+    {
+    }
+
+    void receive()
+    {
+        socket.async_receive_from(
+            asio::buffer(buffer), sender, [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
+                if (error == asio::error::operation_aborted) {
+                    return;
+                }
+                // Errors tell of datagrams sent before, to ports where nobody listens.
+                if (!error && self->handler) {
+                    self->handler(std::string_view(self->buffer.data(), size));
+                }
+                self->receive();
+            });
+    }
+
+    udp::socket socket;
+    udp::endpoint sender;
+    std::array<char, maxDatagram> buffer{};
+    Handler handler;
+    std::uint64_t failed = 0;
+};
+
+UdpPort::UdpPort(EventLoop &loop)
+    : impl_(std::make_shared<Impl>(loop.context()))
+{
+}
+
+UdpPort::~UdpPort()
+{
+    boost::system::error_code ignored;
+    impl_->socket.close(ignored);
+    impl_->handler = nullptr;
+}
+
+std::error_code UdpPort::listen(const Endpoint &endpoint)
+{
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address_v4(endpoint.address, error);
+    if (!error) {
+        impl_->socket.open(udp::v4(), error);
+    }
+    if (!error) {
+        impl_->socket.bind({address, endpoint.port}, error);
+    }
+    if (!error) {
+        impl_->socket.non_blocking(true, error);
+    }
+    if (!error) {
+        impl_->receive();
+    }
+    return error;
+}
+
+void UdpPort::send(const Endpoint &to, std::string_view datagram)
+{
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address_v4(to.address, error);
+    if (!error) {
+        impl_->socket.send_to(asio::buffer(datagram.data(), datagram.size()), {address, to.port}, 0, error);
+    }
+    impl_->failed += error ? 1 : 0;
+}
+
+void UdpPort::onDatagram(Handler handler)
+{
+    impl_->handler = std::move(handler);
+}
+
+std::uint64_t UdpPort::failed() const
+{
+    return impl_->failed;
+}
+
+} // namespace magnoliaspan
--- a/src/peer/PeerAuthenticator.cpp
+++ b/src/peer/PeerAuthenticator.cpp
@@ -1,14 +1,12 @@
 /*
- * Part peer: the keyed hash over OpenSSL.
+ * Part peer: when an authorization is taken.
  */
 #include "peer/PeerAuthenticator.h"
 
-#include <array>
+#include "core/Hmac.h"
+
 #include <charconv>
 #include <fmt/format.h>
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
 
 namespace magnoliaspan {
 
@@ -34,20 +32,7 @@
         message += '\n';
     }
     message += body;
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned length = 0;
-    HMAC(EVP_sha256(),
-         key_.data(),
-         static_cast<int>(key_.size()),
-         reinterpret_cast<const unsigned char *>(message.data()),
-         message.size(),
-         digest.data(),
-         &length);
-    std::string hex;
-    for (unsigned i = 0; i < length; ++i) {
-        fmt::format_to(std::back_inserter(hex), "{:02x}", digest.at(i));
-    }
-    return hex;
+    return hmacSha256(key_, message);
 }
 
 std::string PeerAuthenticator::sign(std::string_view path, std::string_view body)
@@ -78,7 +63,7 @@
         return false;
     }
     const std::string expected = mac(time, nonce, path, body);
-    if (given.size() != expected.size() || CRYPTO_memcmp(given.data(), expected.data(), expected.size()) != 0) {
+    if (!sameDigest(given, expected)) {
         return false;
     }
     forgetOld(now);
--- a/tests/cli.sh
+++ b/tests/cli.sh
@@ -64,14 +64,19 @@
 ready_address: 127.0.0.1:8227
 metrics_address: 127.0.0.1:7750
 discovery_address: 127.0.0.1:8229
+peer_address: 127.0.0.1:7741
+seeds: "127.0.0.1:8224,127.0.0.2:8224"
+peer_key: k
 extra_send_ratio: 0.2
 watch_time: 5000ms
 SETTINGS
 sed 's/^zone: north/zone: south/' "$folder/forward.yaml" >"$folder/elsewhere.yaml"
+sed 's/127.0.0.2:8224/nowhere/' "$folder/forward.yaml" >"$folder/seeds.yaml"
 sed 's/ratio: 0.2/ratio: lots/' "$folder/forward.yaml" >"$folder/lots.yaml"
 expect 0 '' check "$folder/forward.yaml"
 expect 1 "elsewhere.yaml:2: zone: 'south' is not among the zones" check "$folder/elsewhere.yaml"
-expect 1 "lots.yaml:10: extra_send_ratio: 'lots'" forward "--settings=$folder/lots.yaml"
+expect 1 "seeds.yaml:11: seeds: must be IP:PORT" check "$folder/seeds.yaml"
+expect 1 "lots.yaml:13: extra_send_ratio: 'lots'" forward "--settings=$folder/lots.yaml"
 expect 2 'forward needs --settings FILE' forward
 
 "$program" promote "$folder/trial.yaml" >"$folder/production.yaml"
--- a/tests/unit/ForwardFixture.cpp
+++ b/tests/unit/ForwardFixture.cpp
@@ -243,6 +243,9 @@
     settings.host = "host";
     settings.zone = "here";
     settings.regionOfZone = {{"here", "home"}, {"there", "away"}};
+    settings.peerAddress = {"10.0.0.1", 7741};
+    settings.peerKey = "key";
+    settings.seeds = {{"10.0.0.2", 7741}}; // Nobody answers there, so that the assumed number of hosts stands.
     settings.shutdownAnnounce = std::chrono::seconds(2);
     settings.shutdownLimit = std::chrono::seconds(5);
     settings.watchTime = std::chrono::seconds(5);
@@ -250,7 +253,7 @@
     settings.limits = limits;
     host = std::make_unique<ForwardHost>(
         ForwardHostEnvironment{
-            process, process, transport, discovery, codec, [this](std::string_view line) { log.emplace_back(line); }, seed},
+            process, process, transport, discovery, *peers, codec, [this](std::string_view line) { log.emplace_back(line); }, seed},
         settings);
     host->start();
 }
--- a/tests/unit/ForwardFixture.h
+++ b/tests/unit/ForwardFixture.h
@@ -3,6 +3,7 @@
  */
 #pragma once
 
+#include "FakeDatagrams.h"
 #include "app/ForwardHost.h"
 #include "scenario/FakeNetwork.h"
 
@@ -148,6 +149,8 @@
     ProcessTime targetTime{time, {}};
     PlainCodec codec;
     ScriptedDiscovery discovery{process, process};
+    FakeDatagrams datagrams{time};
+    std::unique_ptr<DatagramPort> peers = datagrams.bind({"10.0.0.1", 7741});
     std::vector<std::string> log;
     ForwardLimits limits;
     std::uint64_t seed = 1; ///< Of the host.
--- /dev/null
+++ b/tests/unit/GossipTest.cpp
@@ -0,0 +1,254 @@
+/*
+ * Unit tests: hosts that find and watch each other, on the manual clock.
+ */
+#include "FakeDatagrams.h"
+#include "membership/GossipController.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace magnoliaspan;
+using namespace magnoliaspan::testing;
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr unsigned zoneCount = 3;
+constexpr unsigned assumed = 100;
+
+Endpoint addressOf(unsigned host)
+{
+    return {fmt::format("10.0.{}.{}", host / 200, host % 200 + 1), 7741};
+}
+
+std::string zoneOf(unsigned host)
+{
+    return fmt::format("z{}", host % zoneCount);
+}
+
+class GossipHosts
+{
+public:
+    struct Host {
+        std::unique_ptr<DatagramPort> port;
+        std::unique_ptr<Journal> journal;
+        Counters counters;
+        std::unique_ptr<GossipController> gossip;
+        std::vector<CrashReport> heard;
+    };
+
+    explicit GossipHosts(unsigned count)
+    {
+        for (unsigned host = 0; host < count; ++host) {
+            start(host, 1'000);
+        }
+    }
+
+    void start(unsigned number, std::uint64_t incarnation, const std::string &key = "key")
+    {
+        hosts.erase(number);
+        Host &host = hosts[number];
+        host.port = datagrams.bind(addressOf(number));
+        host.journal = std::make_unique<Journal>(
+            time, [](std::string_view) {}, 10);
+        GossipSettings settings;
+        settings.self = {fmt::format("h{}", number), zoneOf(number), addressOf(number), incarnation, HostState::Alive};
+        settings.seeds = {addressOf(0), addressOf(1), addressOf(2)};
+        settings.zones = {"z0", "z1", "z2"};
+        settings.key = key;
+        settings.assumedHosts = assumed;
+        host.gossip
+            = std::make_unique<GossipController>(time, time, *host.journal, host.counters, *host.port, std::move(settings), number + 1);
+        host.gossip->onCrash([&host](const CrashReport &crash) { host.heard.push_back(crash); });
+        host.gossip->start();
+    }
+
+    void stop(unsigned number)
+    {
+        hosts.erase(number);
+    }
+
+    void run(Duration duration)
+    {
+        time.runUntil(time.now() + duration);
+    }
+
+    unsigned hostsAt(unsigned number) const
+    {
+        return hosts.at(number).gossip->hosts();
+    }
+
+    ManualTime time;
+    FakeDatagrams datagrams{time};
+    std::map<unsigned, Host> hosts;
+};
+
+} // namespace
+
+TEST_CASE("membership: hosts find each other from seeds and agree on their number")
+{
+    const unsigned count = GENERATE(2U, 7U, 90U, 300U);
+    GossipHosts fixture(count);
+    fixture.run(milliseconds(500));
+    // Until the hosts are known, the assumed number or a higher one stands.
+    CHECK(fixture.hostsAt(0) >= assumed);
+    fixture.run(seconds(15));
+    for (const auto &[number, host] : fixture.hosts) {
+        // A fifth of the bounds is kept in reserve.
+        CHECK(host.gossip->hosts() * 100 >= count * 99);
+    }
+    fixture.run(seconds(count > 100 ? 45 : 0));
+    for (const auto &[number, host] : fixture.hosts) {
+        // Two hosts of three zones: the zone without any is taken to be as large.
+        CHECK(host.gossip->hosts() == std::max(count, zoneCount));
+        CHECK(host.gossip->alive() == count - 1);
+    }
+    CHECK(fixture.datagrams.largest <= PeerDatagramCodec::maxBytes);
+}
+
+TEST_CASE("membership: at rest a host sends less than the bound on control traffic")
+{
+    const unsigned count = 90;
+    GossipHosts fixture(count);
+    fixture.run(seconds(20));
+    fixture.datagrams.bytes = 0;
+    fixture.run(seconds(20));
+    CHECK(fixture.datagrams.bytes / count / 20 < 5'000);
+}
+
+TEST_CASE("membership: a host cut off from all others shares as before, and so do they")
+{
+    GossipHosts fixture(9);
+    fixture.run(seconds(15));
+    fixture.datagrams.passes = [](const Endpoint &from, const Endpoint &to) { return from != addressOf(5) && to != addressOf(5); };
+    fixture.run(minutes(30));
+    CHECK(fixture.hostsAt(5) == 9);
+    CHECK(fixture.hostsAt(0) == 9);
+    CHECK(fixture.hosts.at(0).gossip->alive() == 7);
+    SECTION("and is found again")
+    {
+        fixture.datagrams.passes = nullptr;
+        fixture.run(seconds(40));
+        CHECK(fixture.hosts.at(0).gossip->alive() == 8);
+        CHECK(fixture.hosts.at(5).gossip->alive() == 8);
+    }
+    SECTION("and is forgotten in the end")
+    {
+        fixture.run(hours(2));
+        CHECK(fixture.hostsAt(0) == 8);
+    }
+}
+
+TEST_CASE("membership: two zones that reach each other only by way of a third stay alive to each other")
+{
+    GossipHosts fixture(9);
+    fixture.run(seconds(15));
+    fixture.datagrams.passes = [](const Endpoint &from, const Endpoint &to) {
+        const auto zone
+            = [](const Endpoint &address) { return (std::stoi(address.address.substr(address.address.rfind('.') + 1)) - 1) % 3; };
+        return zone(from) == 2 || zone(to) == 2 || zone(from) == zone(to);
+    };
+    std::size_t least = 8;
+    for (int second = 0; second < 60; ++second) {
+        fixture.run(seconds(1));
+        least = std::min(least, fixture.hosts.at(0).gossip->alive());
+    }
+    CHECK(least == 8);
+}
+
+TEST_CASE("membership: a host that starts again is believed, also when its clock stands earlier than before")
+{
+    GossipHosts fixture(7);
+    fixture.run(seconds(15));
+    fixture.stop(4);
+    fixture.run(seconds(20));
+    REQUIRE(fixture.hosts.at(0).gossip->alive() == 5);
+    fixture.start(4, GENERATE(2'000ULL, 10ULL));
+    fixture.run(seconds(10));
+    for (const auto &[number, host] : fixture.hosts) {
+        CHECK(host.gossip->alive() == 6);
+        CHECK(host.gossip->hosts() == 7);
+    }
+}
+
+TEST_CASE("membership: a host that leaves is no longer counted after a while, one that was lost is")
+{
+    GossipHosts fixture(7);
+    fixture.run(seconds(15));
+    fixture.hosts.at(4).gossip->leave();
+    fixture.run(seconds(1));
+    fixture.stop(4);
+    fixture.stop(5);
+    fixture.run(seconds(20));
+    CHECK(fixture.hostsAt(0) == 7);
+    fixture.run(seconds(30));
+    CHECK(fixture.hostsAt(0) == 6);
+    CHECK(fixture.hosts.at(0).gossip->alive() == 4);
+}
+
+TEST_CASE("membership: a host that starts in a zone cut off from the others counts the unseen zones as large as its own")
+{
+    GossipHosts fixture(9);
+    fixture.run(seconds(15));
+    fixture.datagrams.passes = [](const Endpoint &from, const Endpoint &to) {
+        const auto zone
+            = [](const Endpoint &address) { return (std::stoi(address.address.substr(address.address.rfind('.') + 1)) - 1) % 3; };
+        return zone(from) == zone(to);
+    };
+    fixture.start(6, 2'000);
+    fixture.run(seconds(20));
+    CHECK(fixture.hosts.at(6).gossip->alive() >= 2);
+    CHECK(fixture.hostsAt(6) >= 9);
+}
+
+TEST_CASE("membership: hosts with another key are not met")
+{
+    GossipHosts fixture(3);
+    fixture.start(3, 1'000, "other");
+    fixture.run(seconds(15));
+    CHECK(fixture.hostsAt(0) == 3);
+    CHECK(fixture.hostsAt(3) == assumed);
+    CHECK(fixture.hosts.at(0).counters.value("magnoliaspan_peer_datagrams_refused_total") > 0);
+}
+
+TEST_CASE("membership: a loss of a target that one host saw is known to all within a second, while one datagram in five is lost")
+{
+    const unsigned count = GENERATE(7U, 90U);
+    GossipHosts fixture(count);
+    fixture.run(seconds(15));
+    unsigned number = 0;
+    fixture.datagrams.passes = [&number](const Endpoint &, const Endpoint &) { return ++number % 5 != 0; };
+    fixture.hosts.at(3).gossip->report({Fingerprint{7}, 8});
+    fixture.run(seconds(1));
+    unsigned heard = 0;
+    for (const auto &[host, state] : fixture.hosts) {
+        heard += state.heard.size() == 1 ? 1 : 0;
+    }
+    CHECK(heard == count - 1);
+}
+
+TEST_CASE("membership: a datagram that is damaged, strange or of another version is refused with a reason")
+{
+    const PeerDatagramCodec codec("key");
+    PeerDatagram datagram;
+    datagram.sender = {"h1", "z1", addressOf(1), 1'000, HostState::Alive};
+    datagram.members = {{"h2", "z2", addressOf(2), 900, HostState::Gone}};
+    datagram.crashes = {{Fingerprint{~0ULL}, 5}};
+    const std::string text = codec.encode(datagram);
+    std::string reason;
+    const auto read = codec.decode(text, reason);
+    REQUIRE(read);
+    CHECK(read->members.at(0).state == HostState::Gone);
+    CHECK(read->crashes == datagram.crashes);
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        std::string damaged = text;
+        damaged[at] = static_cast<char>(damaged[at] ^ 1);
+        reason.clear();
+        CHECK_FALSE(codec.decode(damaged, reason));
+        CHECK_FALSE(reason.empty());
+        CHECK_FALSE(codec.decode(text.substr(0, at), reason));
+    }
+}
