--- a/src/app/ForwardCommand.cpp
+++ b/src/app/ForwardCommand.cpp
@@ -66,14 +66,24 @@
         , writer_(std::make_shared<LogWriter>(clock_, loop_, STDOUT_FILENO, settings.logLinesPerSecond))
         , logger_("magnoliaspan", writer_)
         , codec_(platform::makeCodec())
+        , decoder_(platform::makeDecoder())
         , discovery_(platform::makeDiscovery(clock_, loop_, transport_, settings.discoveryAddress))
-        , host_({clock_, loop_, transport_, *discovery_, peers_, *codec_, [this](std::string_view line) { logger_.info(line); }, seed()},
+        , host_({clock_,
+                 loop_,
+                 transport_,
+                 *discovery_,
+                 peers_,
+                 *decoder_,
+                 *codec_,
+                 [this](std::string_view line) { logger_.info(line); },
+                 seed()},
                 settings)
         , ready_([this] { return readiness(host_); })
         , metrics_([this] {
             return ServiceReply{200, "text/plain; version=0.0.4", metricsText()};
         })
         , callerServer_(loop_, host_.callers(), {})
+        , peerServer_(loop_, host_.relay(), {})
         , readyServer_(loop_, ready_, {})
         , metricsServer_(loop_, metrics_, {})
     {
@@ -84,7 +94,8 @@
     int run(const ForwardSettings &settings)
     {
         if (!listen(callerServer_, settings.callerAddress) || !listen(readyServer_, settings.readyAddress)
-            || !listen(metricsServer_, settings.metricsAddress) || !listen(peers_, settings.peerAddress)) {
+            || !listen(metricsServer_, settings.metricsAddress) || !listen(peers_, settings.peerAddress)
+            || !listen(peerServer_, settings.peerAddress)) {
             return 1;
         }
         host_.onListenerLimits([this](const ListenerLimits &limits) { applyLimits(limits); });
@@ -187,11 +198,13 @@
     std::shared_ptr<LogWriter> writer_;
     spdlog::logger logger_;
     std::unique_ptr<ForwardCodec> codec_;
+    std::unique_ptr<ItemDecoder> decoder_;
     std::unique_ptr<DiscoverySource> discovery_;
     ForwardHost host_;
     TextService ready_;
     TextService metrics_;
     HttpServer callerServer_;
+    HttpServer peerServer_;
     HttpServer readyServer_;
     HttpServer metricsServer_;
 };
--- a/src/app/ForwardHost.cpp
+++ b/src/app/ForwardHost.cpp
@@ -47,6 +47,20 @@
               environment.peers,
               gossipSettings(settings_, environment.clock),
               environment.seed + 2)
+    , mirror_(environment.clock)
+    , source_({environment.clock,
+               environment.scheduler,
+               journal_,
+               counters_,
+               environment.transport,
+               environment.discovery,
+               environment.decoder,
+               gossip_,
+               mirror_},
+              settings_.peerKey,
+              settings_.watchTime,
+              environment.seed + 3)
+    , relay_(environment.clock, environment.scheduler, counters_, mirror_, settings_.peerKey, [this] { return source_.unsettled(); })
     , environment_{environment.clock,
                    environment.scheduler,
                    environment.transport,
@@ -56,13 +70,7 @@
                    crashes_,
                    environment.seed}
     , replicas_(environment_, registry_, {settings_.zone, settings_.regionOfZone}, settings_.limits)
-    , discovery_(environment.clock,
-                 environment.scheduler,
-                 journal_,
-                 environment.discovery,
-                 registry_,
-                 settings_.watchTime,
-                 environment.seed)
+    , discovery_(environment.clock, environment.scheduler, journal_, source_, registry_, settings_.watchTime, environment.seed)
     , callers_(environment_, registry_, replicas_, active_, environment.seed + 1)
 {
     connectRegistry();
@@ -87,13 +95,17 @@
     listener.targetChanged = [this](const TargetEntry &entry) { replicas_.targetChanged(entry); };
     listener.targetRemoved = [this](const std::string &id) { replicas_.targetRemoved(id); };
     listener.zoneChanged = [this](const std::string &zone, bool evacuated) { replicas_.zoneChanged(zone, evacuated); };
-    listener.readingApplied = [this] { callers_.readingApplied(); };
+    listener.readingApplied = [this] {
+        gossip_.setRevision(mirror_.revision());
+        callers_.readingApplied();
+    };
     registry_.setListener(std::move(listener));
 }
 
 void ForwardHost::connectGossip()
 {
     gossip_.onHosts([this](unsigned hosts) { replicas_.setHosts(hosts); });
+    gossip_.onRevision([this](std::int64_t revision) { discovery_.othersKnow(revision); });
     gossip_.onCrash([this](const CrashReport &report) { crashes_.heard(report); });
     crashes_.onLoss([this](const CrashReport &report) { gossip_.report(report); });
 }
@@ -163,6 +175,11 @@
     }
 }
 
+RelayService &ForwardHost::relay()
+{
+    return relay_;
+}
+
 ForwardService &ForwardHost::callers()
 {
     return callers_;
--- a/src/app/ForwardHost.h
+++ b/src/app/ForwardHost.h
@@ -12,6 +12,8 @@
 #include "forward/CrashGuard.h"
 #include "forward/ForwardService.h"
 #include "membership/GossipController.h"
+#include "relay/RelayService.h"
+#include "relay/RelaySource.h"
 
 #include <functional>
 #include <memory>
@@ -25,6 +27,7 @@
     Transport &transport;
     DiscoverySource &discovery;
     DatagramPort &peers;
+    const ItemDecoder &decoder;
     const ForwardCodec &codec;
     Journal::Sink logSink;
     std::uint64_t seed = 0; ///< Of all random choices.
@@ -55,6 +58,10 @@
     std::string notReadyReason() const;
 
     ForwardService &callers();
+
+    /// \returns what answers other hosts.
+    RelayService &relay();
+
     ServingController &serving();
     Journal &journal();
 
@@ -78,6 +85,9 @@
     Registry registry_;
     CrashGuard crashes_;
     GossipController gossip_;
+    Mirror mirror_;
+    RelaySource source_;
+    RelayService relay_;
     ForwardEnvironment environment_;
     ReplicaController replicas_;
     DiscoveryController discovery_;
--- a/src/control/Budget.cpp
+++ b/src/control/Budget.cpp
@@ -31,7 +31,12 @@
 
 void Budget::earn()
 {
-    tokens_ = std::min(burst_, tokens_ + ratio_);
+    add(ratio_);
+}
+
+void Budget::add(double tokens)
+{
+    tokens_ = std::min(burst_, tokens_ + tokens);
 }
 
 bool Budget::spend()
--- a/src/control/Budget.h
+++ b/src/control/Budget.h
@@ -21,6 +21,9 @@
     /// \brief Tells of one ordinary request.
     void earn();
 
+    /// \brief Adds tokens, up to the burst.
+    void add(double tokens);
+
     /// \brief Takes one token. \returns false when there is none.
     bool spend();
 
--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -20,6 +20,8 @@
 constexpr unsigned maxDoublings = 4;
 // Entries that lapsed while the source was away are back within two seconds of its return, if their targets live.
 constexpr Duration lapseTime = std::chrono::milliseconds(2'300);
+// A host at rest follows within the wait between calls and a slow answer.
+constexpr Duration catchUpTime = std::chrono::seconds(2);
 
 } // namespace
 
@@ -53,6 +55,34 @@
     next();
 }
 
+void DiscoveryController::othersKnow(std::int64_t revision)
+{
+    if (revision <= revision_ || compareTimer_ != TimerId::None) {
+        return;
+    }
+    compareTimer_ = scheduler_.callAt(clock_.now() + catchUpTime, [this, revision, alive = std::weak_ptr<int>(alive_)] {
+        if (!alive.expired()) {
+            compareTimer_ = TimerId::None;
+            compareWithOthers(revision);
+        }
+    });
+}
+
+void DiscoveryController::compareWithOthers(std::int64_t revision)
+{
+    if (revision <= revision_ || failures_ > 0) {
+        return;
+    }
+    journal_.note(Part::Config, "", fmt::format("others know more, read again another way revision={} others={}", revision_, revision));
+    source_.distrust();
+    refresh();
+}
+
+std::int64_t DiscoveryController::revision() const
+{
+    return revision_;
+}
+
 void DiscoveryController::next()
 {
     if (needsAll_) {
@@ -78,13 +108,13 @@
         failed(reading.error);
         return;
     }
-    answered();
     journal_.note(Part::Config,
                   "",
                   fmt::format("full reading taken revision={} changes={} latest={}",
                               reading.revision,
                               reading.changes.size(),
                               freshness == Freshness::Latest));
+    taken(reading);
     registry_.apply(reading, true, recentlyLost());
     revision_ = reading.revision;
     needsAll_ = false;
@@ -114,9 +144,13 @@
         failed(reading.error);
         return;
     }
-    answered();
+    taken(reading);
     registry_.apply(reading, false, recentlyLost());
     revision_ = std::max(revision_, reading.revision);
+    if (reading.secondHand) {
+        again(backoff());
+        return;
+    }
     if (reading.changes.empty()) {
         burst_ = 0;
         next();
@@ -135,6 +169,17 @@
     again(backoff());
 }
 
+// Another host's word keeps this host up to date, but does not tell that the source is back.
+void DiscoveryController::taken(const DiscoveryReading &reading)
+{
+    if (!reading.secondHand) {
+        answered();
+    }
+    if (reading.secondHand || reading.unsettled) {
+        keepLapsedAWhile();
+    }
+}
+
 void DiscoveryController::answered()
 {
     if (failures_ == 0) {
@@ -142,6 +187,11 @@
     }
     journal_.note(Part::Config, "", fmt::format("discovery regained revision={} failed_calls={}", revision_, failures_));
     failures_ = 0;
+    keepLapsedAWhile();
+}
+
+void DiscoveryController::keepLapsedAWhile()
+{
     regained_ = clock_.now();
     scheduler_.cancel(lapseTimer_);
     lapseTimer_ = scheduler_.callAt(clock_.now() + lapseTime, [this, alive = std::weak_ptr<int>(alive_)] {
--- a/src/discovery/DiscoveryController.h
+++ b/src/discovery/DiscoveryController.h
@@ -32,6 +32,13 @@
     /// \brief Asks again at once, dropping the running call; after the process was suspended.
     void refresh();
 
+    /// \brief Tells that another host knows the state of \p revision. If this host does not come to know it in time, the
+    /// way it reads is silent or slow, and it reads again another way.
+    void othersKnow(std::int64_t revision);
+
+    /// \returns the revision of what was last taken over.
+    std::int64_t revision() const;
+
 private:
     void readAll(Freshness freshness);
     void allRead(Freshness freshness, const DiscoveryReading &reading);
@@ -40,6 +47,9 @@
     void failed(const std::error_code &error);
     void answered();
     void again(Duration wait);
+    void taken(const DiscoveryReading &reading);
+    void keepLapsedAWhile();
+    void compareWithOthers(std::int64_t revision);
     void next();
     Duration backoff();
     bool recentlyLost() const;
@@ -59,7 +69,8 @@
     std::optional<TimePoint> regained_; // When calls succeeded again after failures.
     TimerId timer_ = TimerId::None;
     TimerId lapseTimer_ = TimerId::None;
-    std::shared_ptr<int> alive_; // Handlers hold it weakly, so that none outlives the controller.
+    TimerId compareTimer_ = TimerId::None; // Set while another host knows more.
+    std::shared_ptr<int> alive_;           // Handlers hold it weakly, so that none outlives the controller.
 };
 
 } // namespace magnoliaspan
--- a/src/discovery/DiscoverySource.h
+++ b/src/discovery/DiscoverySource.h
@@ -8,6 +8,7 @@
 #include "routing/RoutingTable.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <variant>
@@ -44,12 +45,23 @@
 
 using DiscoveryChange = std::variant<TablePublished, TargetPublished, TargetRemoved, ZoneEvacuation, Unreadable>;
 
+/// \brief One value as it was published, for hosts that read it from this one.
+struct PublishedItem {
+    std::string key;
+    std::int64_t revision = 0;          ///< Of its last change.
+    std::optional<std::string> encoded; ///< As the source wrote it; nothing when it was removed.
+};
+
 /// \brief The result of one call.
 struct DiscoveryReading {
     std::error_code error;    ///< Set when nothing was read.
     bool historyLost = false; ///< The changes since the revision are no longer known; a full reading is needed.
     std::int64_t revision = 0;
     std::vector<DiscoveryChange> changes; ///< In the order of their publication.
+    std::vector<PublishedItem> items;     ///< What the changes were decoded from, where it may be handed on.
+    bool secondHand = false;              ///< Told by another host, while this one cannot read for itself.
+    bool unsettled = false;               ///< What is missing may only have lapsed while the source was away.
+    Duration age{};                       ///< Since this state was last known to be the published one.
 };
 
 /// How old a full reading may be.
@@ -58,6 +70,16 @@
     MayBeOld, ///< Cheaper, and perhaps seconds old.
 };
 
+/// \brief Decodes what was published.
+class ItemDecoder
+{
+public:
+    virtual ~ItemDecoder() = default;
+
+    /// \returns the change that \p item means, or nothing when it means nothing to this system.
+    virtual std::optional<DiscoveryChange> decode(const PublishedItem &item) const = 0;
+};
+
 /// \brief Reads what operators and targets publish; one call at a time.
 class DiscoverySource
 {
@@ -74,6 +96,9 @@
 
     /// \brief Drops the running call; its handler is not called any more.
     virtual void cancel() = 0;
+
+    /// \brief Tells that others know more than this source gave; it should go another way for a while, if it has one.
+    virtual void distrust() { }
 };
 
 } // namespace magnoliaspan
--- a/src/forward/LatencyEstimate.h
+++ b/src/forward/LatencyEstimate.h
@@ -9,6 +9,12 @@
 
 namespace magnoliaspan {
 
+/// \brief What is known of replicas of a kind.
+struct UsualLatency {
+    Duration latency{};
+    Duration memory{}; ///< In which half of what is unusual about one replica is forgotten.
+};
+
 /// \brief Exponentially weighted mean of latencies that one outlier cannot move far.
 /// A belief that nothing renews moves back towards what is usual, so that a target that was slow is tried again.
 class LatencyEstimate
@@ -17,8 +23,8 @@
     /// \brief Adds one observation taken at \p now.
     void add(Duration latency, TimePoint now);
 
-    /// \returns the expectation at \p now; \p usual before the first observation.
-    Duration expected(Duration usual, TimePoint now) const;
+    /// \returns the expectation at \p now; the usual latency before the first observation.
+    Duration expected(const UsualLatency &usual, TimePoint now) const;
 
     /// \returns the mean itself, nothing before the first observation.
     std::optional<Duration> mean() const;
@@ -26,6 +32,7 @@
 private:
     double mean_ = 0; // Microseconds.
     std::optional<TimePoint> renewedAt_;
+    std::optional<TimePoint> outlierSince_; // Of the first in a row of outliers.
 };
 
 } // namespace magnoliaspan
--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -155,13 +155,13 @@
     return connections_.empty() ? std::max(health_.unreachableUntil(), noConnectsUntil_) : health_.unreachableUntil();
 }
 
-Duration Replica::expected(const std::string &workKind, Duration usual) const
+Duration Replica::expected(const std::string &workKind, const UsualLatency &usual) const
 {
     const auto found = latency_.find(workKind);
-    return found == latency_.end() ? usual : found->second.expected(usual, environment_.clock.now());
+    return found == latency_.end() ? usual.latency : found->second.expected(usual, environment_.clock.now());
 }
 
-ReplicaView Replica::view(const std::string &workKind, Duration usual) const
+ReplicaView Replica::view(const std::string &workKind, const UsualLatency &usual) const
 {
     const TimePoint now = environment_.clock.now();
     ReplicaView view;
@@ -174,7 +174,7 @@
     view.failureRate = health_.failureRate();
     view.otherRegion = limits_.otherRegion;
     const auto estimate = latency_.find(workKind);
-    const bool slower = estimate != latency_.end() && view.expected > usual + usual / 2;
+    const bool slower = estimate != latency_.end() && view.expected > usual.latency + usual.latency / 2;
     view.stale = slower && health_.sinceHeard() > staleAfter;
     view.setAside = health_.setAside();
     return view;
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -94,9 +94,9 @@
     TimePoint reachableAgainAt() const;
 
     /// \returns what replicaScore() needs to know.
-    ReplicaView view(const std::string &workKind, Duration usual) const;
+    ReplicaView view(const std::string &workKind, const UsualLatency &usual) const;
 
-    Duration expected(const std::string &workKind, Duration usual) const;
+    Duration expected(const std::string &workKind, const UsualLatency &usual) const;
 
     /// \brief Sends \p order on an idle or new connection, or queues it until one is free.
     SendId send(SendOrder order);
--- a/src/forward/ReplicaController.cpp
+++ b/src/forward/ReplicaController.cpp
@@ -21,9 +21,18 @@
 constexpr Duration firstUsual = std::chrono::milliseconds(15);
 // Two ways between regions of today's deployments.
 constexpr Duration firstUsualElsewhere = std::chrono::milliseconds(45);
-// Part of the published ratio of extra sends that is used; the rest covers requests counted in other windows.
+// Parts of the published bound on extra sends that are used; the rest covers requests counted in other windows. Of the
+// slack one part may be used at once and another over the length of the window.
 constexpr double ratioUsed = 0.9;
-constexpr double slackUsed = 0.8;
+constexpr double slackHeld = 0.5;
+constexpr double slackRefilled = 0.3;
+// Over which the published bound counts.
+constexpr Duration budgetWindow = std::chrono::seconds(10);
+// A replica that was slow is tried again within seconds, but by no more than one request in some ten.
+constexpr Duration leastMemory = std::chrono::seconds(2);
+constexpr Duration longestMemory = std::chrono::seconds(15);
+constexpr int memoryRequests = 8;
+constexpr int intervalWeight = 8;
 // Below one token nothing could ever be sent again.
 constexpr double leastBurst = 1;
 
@@ -61,15 +70,15 @@
 // What a budget held is kept: a change of the hosts gives no leave for more sends at once.
 void ReplicaController::shareChanged()
 {
-    for (auto &[service, budget] : budgets_) {
-        budget.setBounds(ratioUsed * limits_.extraSendRatio, extraSendBurst());
+    for (auto &[service, use] : uses_) {
+        use.extraSends.setBounds(ratioUsed * limits_.extraSendRatio, extraSendBurst());
     }
     tableAccepted();
 }
 
 double ReplicaController::extraSendBurst() const
 {
-    return std::max(leastBurst, slackUsed * limits_.extraSendSlack / std::max(1U, limits_.hosts));
+    return std::max(leastBurst, slackHeld * limits_.extraSendSlack / std::max(1U, limits_.hosts));
 }
 
 const ForwardLimits &ReplicaController::limits() const
@@ -197,7 +206,7 @@
     Duration least{};
     for (const auto &replica : candidates) {
         const std::string kind(query.workKind);
-        const Duration score = replicaScore(replica->view(kind, usual(kind, replica->limits().otherRegion)));
+        const Duration score = replicaScore(replica->view(kind, usualAt(query.service, kind, replica->limits().otherRegion)));
         if (chosen != nullptr && score >= least) {
             continue;
         }
@@ -267,7 +276,7 @@
     if (found == usual_.end()) {
         return std::nullopt;
     }
-    return found->second.expected(otherRegion ? firstUsualElsewhere : firstUsual, environment_.clock.now());
+    return found->second.expected({otherRegion ? firstUsualElsewhere : firstUsual, leastMemory}, environment_.clock.now());
 }
 
 Duration ReplicaController::usual(std::string_view workKind, bool otherRegion) const
@@ -280,13 +289,41 @@
     usual_[fmt::format("{}{}", otherRegion ? '-' : '+', workKind)].add(latency, environment_.clock.now());
 }
 
-Budget &ReplicaController::extraSends(std::string_view service)
+ReplicaController::ServiceUse &ReplicaController::useOf(std::string_view service)
 {
-    const auto found = budgets_.find(service);
-    if (found != budgets_.end()) {
+    const auto found = uses_.find(service);
+    if (found != uses_.end()) {
         return found->second;
     }
-    return budgets_.emplace(std::string(service), Budget(ratioUsed * limits_.extraSendRatio, extraSendBurst())).first->second;
+    const TimePoint now = environment_.clock.now();
+    return uses_.emplace(std::string(service), ServiceUse{Budget(ratioUsed * limits_.extraSendRatio, extraSendBurst()), now, now, {}})
+        .first->second;
+}
+
+void ReplicaController::requestBegins(std::string_view service)
+{
+    const TimePoint now = environment_.clock.now();
+    ServiceUse &use = useOf(service);
+    use.extraSends.earn();
+    use.interval += (now - use.lastRequestAt - use.interval) / intervalWeight;
+    use.lastRequestAt = now;
+}
+
+bool ReplicaController::takeExtraSend(std::string_view service)
+{
+    const TimePoint now = environment_.clock.now();
+    ServiceUse &use = useOf(service);
+    const double elapsed = std::chrono::duration<double>(now - use.refilledAt) / std::chrono::duration<double>(budgetWindow);
+    use.extraSends.add(elapsed * slackRefilled * limits_.extraSendSlack / std::max(1U, limits_.hosts));
+    use.refilledAt = now;
+    return use.extraSends.spend();
+}
+
+UsualLatency ReplicaController::usualAt(std::string_view service, std::string_view workKind, bool otherRegion) const
+{
+    const auto found = uses_.find(service);
+    const Duration interval = found == uses_.end() ? Duration::zero() : found->second.interval;
+    return {usual(workKind, otherRegion), std::clamp(memoryRequests * interval, leastMemory, longestMemory)};
 }
 
 void ReplicaController::tick()
--- a/src/forward/ReplicaController.h
+++ b/src/forward/ReplicaController.h
@@ -73,8 +73,14 @@
     /// \brief Tells of a whole answer of a replica.
     void observe(std::string_view workKind, bool otherRegion, Duration latency);
 
-    /// \returns the budget of sends beyond the first of each request to \p service.
-    Budget &extraSends(std::string_view service);
+    /// \brief Tells that a request to \p service begins.
+    void requestBegins(std::string_view service);
+
+    /// \brief Takes leave for a send beyond the first of a request. \returns false when the service's budget is used up.
+    bool takeExtraSend(std::string_view service);
+
+    /// \returns usual() with the memory that suits the rate of requests to \p service.
+    UsualLatency usualAt(std::string_view service, std::string_view workKind, bool otherRegion) const;
 
     /// \brief Does what is due: closes idle connections, drops replicas that are gone and idle.
     void tick();
@@ -83,11 +89,19 @@
     std::size_t connections() const;
 
 private:
+    struct ServiceUse {
+        Budget extraSends;       // Sends beyond the first of each request.
+        TimePoint refilledAt;    // When the budget last got its part of the slack.
+        TimePoint lastRequestAt; // When a request last began.
+        Duration interval{};     // Between requests, a weighted mean.
+    };
+
     using ReplicaList = std::vector<std::shared_ptr<Replica>>;
     using Replicas = std::map<std::string, std::shared_ptr<Replica>, std::less<>>;
 
     void shareChanged();
     double extraSendBurst() const;
+    ServiceUse &useOf(std::string_view service);
     ReplicaLimits limitsFor(const TargetEntry &entry) const;
     bool usable(const Replica &replica, const ReplicaQuery &query) const;
     void index(const TargetEntry &entry);
@@ -104,7 +118,7 @@
     std::map<std::string, std::set<std::string>, std::less<>> byService_; // Ids of replicas_.
     std::map<std::string, TimePoint, std::less<>> drainingSince_;         // When this host learned of it.
     std::vector<std::shared_ptr<Replica>> retired_;                       // Gone, with sends that still run.
-    std::map<std::string, Budget, std::less<>> budgets_;
+    std::map<std::string, ServiceUse, std::less<>> uses_;
     std::map<std::string, LatencyEstimate, std::less<>> usual_; // By kind of work, this region and others apart.
 };
 
--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -45,7 +45,7 @@
 void ShardCall::start(Handler handler)
 {
     handler_ = std::move(handler);
-    replicas_.extraSends(service_).earn();
+    replicas_.requestBegins(service_);
     if (!sendNext(Reason::First)) {
         afterFailure();
     }
@@ -87,7 +87,7 @@
         return false;
     }
     // What never left this host is no extra load for the service.
-    if (arrivals_ > 0 && !replicas_.extraSends(service_).spend()) {
+    if (arrivals_ > 0 && !replicas_.takeExtraSend(service_)) {
         environment_.counters.add("magnoliaspan_extra_sends_denied_total");
         return false;
     }
@@ -95,7 +95,8 @@
     attempt.replica = replica;
     attempt.number = ++sends_;
     attempt.startedAt = environment_.clock.now();
-    attempt.expected = replica->expected(context_->route->name, replicas_.usual(context_->route->name, replica->limits().otherRegion));
+    attempt.expected
+        = replica->expected(context_->route->name, replicas_.usualAt(service_, context_->route->name, replica->limits().otherRegion));
     tried_.push_back(replica->entry().id);
     SendOrder order;
     order.request = &context_->request;
--- a/src/membership/GossipController.cpp
+++ b/src/membership/GossipController.cpp
@@ -25,12 +25,16 @@
 // News that many wait for are pushed on at once, gathered for this long.
 constexpr Duration pushDelay = std::chrono::milliseconds(50);
 constexpr std::size_t pushTargets = 3;
+// Expected number of hosts that tell a suspect; with a third of the hosts able to reach it, one does in nine of ten cases.
+constexpr double tellers = 6;
 // At rest a few members go along with each datagram, so that differences between hosts vanish.
 constexpr std::size_t restSample = 3;
 constexpr std::size_t joinSample = 30;
 constexpr std::size_t maxCrashes = 12;
-// Times that news are handed on, per doubling of the hosts (SWIM proves that a small multiple is enough).
-constexpr unsigned timesPerDoubling = 3;
+// Times that news are handed on, per doubling of the hosts (SWIM proves that a small multiple is enough). Newcomers are
+// many when all hosts start together, and also come with the samples; other news are few and urgent.
+constexpr unsigned timesNewcomer = 1;
+constexpr unsigned timesUrgent = 3;
 constexpr Duration crashMemory = QuarantineController::lifetime;
 constexpr std::size_t maxRememberedCrashes = 4'000;
 
@@ -51,6 +55,7 @@
     , settings_(std::move(settings))
     , codec_(settings_.key)
     , table_(settings_.self, seed)
+    , random_(seed + 1)
     , hosts_(settings_.assumedHosts)
     , alive_(std::make_shared<int>(0))
 {
@@ -84,7 +89,7 @@
     if (now >= nextLostTrial_) {
         nextLostTrial_ = now + lostTrialInterval;
         if (const Member *lost = table_.anyLost()) {
-            send(lost->address, compose(PeerPurpose::Probe, lost));
+            send(lost->address, compose(PeerPurpose::Probe, lost, usualSample()));
         }
         table_.forget(now);
         std::erase_if(heardCrashes_, [now](const auto &entry) { return now - entry.second > crashMemory; });
@@ -115,7 +120,7 @@
 {
     const std::uint64_t number = ++lastProbe_;
     probes_[number] = name;
-    PeerDatagram datagram = compose(PeerPurpose::Probe, table_.find(name));
+    PeerDatagram datagram = compose(PeerPurpose::Probe, table_.find(name), usualSample());
     datagram.number = number;
     send(to, datagram);
     scheduler_.callAt(clock_.now() + answerTime, [this, alive = std::weak_ptr<int>(alive_), number] {
@@ -178,8 +183,12 @@
     for (const CrashReport &crash : datagram->crashes) {
         hear(crash);
     }
+    if (revisionListener_) {
+        revisionListener_(datagram->revision);
+    }
     if (datagram->purpose == PeerPurpose::Probe && table_.self().state != HostState::Left) {
-        PeerDatagram answer = compose(PeerPurpose::Answer, table_.find(datagram->sender.name));
+        const bool differ = datagram->alive != table_.alive();
+        PeerDatagram answer = compose(PeerPurpose::Answer, table_.find(datagram->sender.name), differ ? joinSample : usualSample());
         answer.number = datagram->number;
         send(datagram->sender.address, answer);
     }
@@ -195,12 +204,13 @@
     if (!table_.learn(news, clock_.now())) {
         return;
     }
-    freshMembers_.add(news.name);
+    (newcomer ? freshNewcomers_ : freshChanges_).add(news.name);
     if (newcomer) {
         lastNewcomer_ = clock_.now();
     }
     if (news.state == HostState::Suspect) {
         suspects_[news.name] = clock_.now() + suspectTime;
+        tellSuspect(news);
     } else {
         suspects_.erase(news.name);
     }
@@ -215,6 +225,15 @@
                               table_.alive() + 1));
 }
 
+// Some of those that hear of a suspicion tell the host itself, whatever the number of hosts: one of them may reach it.
+void GossipController::tellSuspect(const Member &suspect)
+{
+    const double share = tellers / static_cast<double>(std::max<std::size_t>(1, table_.alive()));
+    if (std::uniform_real_distribution<double>(0, 1)(random_) < share) {
+        send(suspect.address, compose(PeerPurpose::News, &suspect, 0));
+    }
+}
+
 // Others speak of an earlier start of this host, or could not reach it for a while.
 void GossipController::learnOfSelf(const Member &news)
 {
@@ -223,7 +242,6 @@
         return;
     }
     table_.outlive(news.incarnation);
-    freshMembers_.add(self.name);
     pushSoon();
     journal_.note(
         Part::Member, "", fmt::format("denied what is said of this host state={} incarnation={}", toString(news.state), self.incarnation));
@@ -272,14 +290,19 @@
 void GossipController::push()
 {
     for (const Member &member : table_.sample(pushTargets)) {
-        send(member.address, compose(PeerPurpose::News, &member));
+        send(member.address, compose(PeerPurpose::News, &member, 0));
     }
     if (!freshCrashes_.empty()) {
         pushSoon();
     }
 }
 
-PeerDatagram GossipController::compose(PeerPurpose purpose, const Member *to)
+std::size_t GossipController::usualSample() const
+{
+    return settled() ? restSample : joinSample;
+}
+
+PeerDatagram GossipController::compose(PeerPurpose purpose, const Member *to, std::size_t sample)
 {
     // Room for the hash, the sender, the numbers and the brackets.
     constexpr std::size_t headerBytes = 200;
@@ -287,7 +310,9 @@
     PeerDatagram datagram;
     datagram.purpose = purpose;
     datagram.sender = table_.self();
-    datagram.crashes = freshCrashes_.take(maxCrashes, timesHandedOn());
+    datagram.alive = table_.alive();
+    datagram.revision = revision_;
+    datagram.crashes = freshCrashes_.take(maxCrashes, timesHandedOn(timesUrgent));
     std::size_t room = PeerDatagramCodec::maxBytes - headerBytes - crashBytes * datagram.crashes.size();
     const auto include = [&](const Member &member) {
         const std::size_t size = PeerDatagramCodec::sizeOf(member);
@@ -301,13 +326,17 @@
     if (to != nullptr && to->state != HostState::Alive) {
         include(*to);
     }
-    const std::size_t fitting = room / PeerDatagramCodec::sizeOf(table_.self());
-    for (const std::string &name : freshMembers_.take(fitting, timesHandedOn())) {
-        if (const Member *member = table_.find(name)) {
-            include(*member);
+    const auto includeFresh = [&](FreshNews<std::string> &fresh, unsigned times) {
+        const std::size_t fitting = room / PeerDatagramCodec::sizeOf(table_.self());
+        for (const std::string &name : fresh.take(fitting, timesHandedOn(times))) {
+            if (const Member *member = table_.find(name)) {
+                include(*member);
+            }
         }
-    }
-    for (const Member &member : table_.sample(settled() ? restSample : joinSample)) {
+    };
+    includeFresh(freshChanges_, timesUrgent);
+    includeFresh(freshNewcomers_, timesNewcomer);
+    for (const Member &member : table_.sample(sample)) {
         include(member);
     }
     return datagram;
@@ -329,7 +358,7 @@
     return (table_.alive() > 0 || alone()) && lastNewcomer_ && clock_.now() - *lastNewcomer_ >= settleTime;
 }
 
-unsigned GossipController::timesHandedOn() const
+unsigned GossipController::timesHandedOn(unsigned timesPerDoubling) const
 {
     return timesPerDoubling * static_cast<unsigned>(std::bit_width(table_.alive() + 1));
 }
@@ -354,7 +383,7 @@
 {
     table_.leave();
     for (const Member &member : table_.sample(pushTargets)) {
-        send(member.address, compose(PeerPurpose::News, &member));
+        send(member.address, compose(PeerPurpose::News, &member, 0));
     }
 }
 
@@ -373,6 +402,26 @@
     hostsListener_ = std::move(listener);
 }
 
+void GossipController::setRevision(std::int64_t revision)
+{
+    revision_ = revision;
+}
+
+void GossipController::onRevision(std::function<void(std::int64_t)> listener)
+{
+    revisionListener_ = std::move(listener);
+}
+
+const Member &GossipController::self() const
+{
+    return table_.self();
+}
+
+std::vector<Member> GossipController::aliveIn(const std::optional<std::string> &zone) const
+{
+    return table_.aliveIn(zone);
+}
+
 unsigned GossipController::hosts() const
 {
     return hosts_;
--- a/src/membership/GossipController.h
+++ b/src/membership/GossipController.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -66,6 +67,17 @@
     /// \brief Calls \p listener whenever the number of hosts that share the bounds changes.
     void onHosts(std::function<void(unsigned hosts)> listener);
 
+    /// \brief Tells which revision of the published state this host knows, for others to compare.
+    void setRevision(std::int64_t revision);
+
+    /// \brief Calls \p listener with each revision that another host tells to know.
+    void onRevision(std::function<void(std::int64_t revision)> listener);
+
+    const Member &self() const;
+
+    /// \returns other hosts that answer, of \p zone or of all.
+    std::vector<Member> aliveIn(const std::optional<std::string> &zone) const;
+
     /// \returns hosts that share the bounds of the targets, counted high rather than low.
     unsigned hosts() const;
 
@@ -80,17 +92,19 @@
     void unanswered(std::uint64_t number);
     void received(std::string_view text);
     void learn(const Member &news);
+    void tellSuspect(const Member &suspect);
     void learnOfSelf(const Member &news);
     void hear(const CrashReport &crash);
     bool spread(const CrashReport &crash);
     void expireSuspects();
-    PeerDatagram compose(PeerPurpose purpose, const Member *to);
+    PeerDatagram compose(PeerPurpose purpose, const Member *to, std::size_t sample);
+    std::size_t usualSample() const;
     void send(const Endpoint &to, const PeerDatagram &datagram);
     void pushSoon();
     void push();
     bool settled() const;
     bool alone() const;
-    unsigned timesHandedOn() const;
+    unsigned timesHandedOn(unsigned timesPerDoubling) const;
     void countHosts();
 
     const Clock &clock_;
@@ -101,7 +115,9 @@
     GossipSettings settings_;
     PeerDatagramCodec codec_;
     MemberTable table_;
-    FreshNews<std::string> freshMembers_;
+    std::mt19937_64 random_;
+    FreshNews<std::string> freshNewcomers_; // Hosts met for the first time, by name.
+    FreshNews<std::string> freshChanges_;   // Hosts whose state changed.
     FreshNews<CrashReport> freshCrashes_;
     std::map<CrashReport, TimePoint> heardCrashes_;          // When each was first heard.
     std::map<std::string, TimePoint, std::less<>> suspects_; // When each counts as gone.
@@ -115,6 +131,8 @@
     bool pushing_ = false; // Whether a push is scheduled.
     std::function<void(const CrashReport &)> crashListener_;
     std::function<void(unsigned)> hostsListener_;
+    std::function<void(std::int64_t)> revisionListener_;
+    std::int64_t revision_ = 0;
     TimerId timer_ = TimerId::None;
     std::shared_ptr<int> alive_; // Handlers hold it weakly, so that none outlives the controller.
 };
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -13,6 +13,8 @@
 constexpr Duration goneCounts = std::chrono::hours(2);
 // A host that ends has no share in bounds over ten seconds once these have passed.
 constexpr Duration leftCounts = std::chrono::seconds(30);
+// Bytes between zones are dear; hosts of a zone probe each other, and all of them together reach the others often enough.
+constexpr unsigned farEvery = 4;
 
 } // namespace
 
@@ -60,18 +62,27 @@
 
 const Member *MemberTable::nextProbe()
 {
-    for (int round = 0; round < 2; ++round) {
-        while (!round_.empty()) {
-            const Member *member = find(round_.back());
-            round_.pop_back();
+    const bool ownZone = ++probes_ % farEvery != 0;
+    const Member *first = nextOf(ownZone ? near_ : far_, ownZone);
+    return first != nullptr ? first : nextOf(ownZone ? far_ : near_, !ownZone);
+}
+
+const Member *MemberTable::nextOf(std::vector<std::string> &round, bool ownZone)
+{
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        while (!round.empty()) {
+            const Member *member = find(round.back());
+            round.pop_back();
             if (member != nullptr && mayBeAlive(*member)) {
                 return member;
             }
         }
         for (const auto &[name, record] : others_) {
-            round_.push_back(name);
+            if ((record.member.zone == self_.zone) == ownZone) {
+                round.push_back(name);
+            }
         }
-        std::shuffle(round_.begin(), round_.end(), random_);
+        std::shuffle(round.begin(), round.end(), random_);
     }
     return nullptr;
 }
@@ -142,6 +153,17 @@
         std::count_if(others_.begin(), others_.end(), [](const auto &entry) { return mayBeAlive(entry.second.member); }));
 }
 
+std::vector<Member> MemberTable::aliveIn(const std::optional<std::string> &zone) const
+{
+    std::vector<Member> result;
+    for (const auto &[name, record] : others_) {
+        if (record.member.state == HostState::Alive && (!zone || record.member.zone == *zone)) {
+            result.push_back(record.member);
+        }
+    }
+    return result;
+}
+
 void MemberTable::forget(TimePoint now)
 {
     std::erase_if(others_, [now](const auto &entry) { return !counts(entry.second, now); });
--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -7,6 +7,7 @@
 #include "membership/Member.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -35,7 +36,8 @@
     /// \returns what is known of \p name, or null.
     const Member *find(std::string_view name) const;
 
-    /// \brief Chooses whom to probe; each host that may be alive comes up once in a round, in random order.
+    /// \brief Chooses whom to probe: mostly hosts of the own zone, to which datagrams are cheap, now and then one of another.
+    /// Of either kind each host that may be alive comes up once in a round, in random order.
     const Member *nextProbe();
 
     /// \brief Chooses a host that does not answer, to be tried again: a cut-off part is found again by this.
@@ -52,6 +54,9 @@
     /// \returns other hosts that may be alive.
     std::size_t alive() const;
 
+    /// \returns other hosts that answer, of \p zone or of all.
+    std::vector<Member> aliveIn(const std::optional<std::string> &zone) const;
+
     /// \brief Forgets hosts that have long been gone.
     void forget(TimePoint now);
 
@@ -61,13 +66,16 @@
         TimePoint changedAt; // When its state was last taken over.
     };
 
+    const Member *nextOf(std::vector<std::string> &round, bool ownZone);
     static bool mayBeAlive(const Member &member);
     static bool counts(const Record &record, TimePoint now);
 
     Member self_;
     std::mt19937_64 random_;
     std::map<std::string, Record, std::less<>> others_; // By name.
-    std::vector<std::string> round_;                    // Still to be probed in this round.
+    std::vector<std::string> near_;                     // Of the own zone, still to be probed in this round.
+    std::vector<std::string> far_;                      // The same of other zones.
+    unsigned probes_ = 0;
 };
 
 } // namespace magnoliaspan
--- a/src/membership/PeerDatagram.cpp
+++ b/src/membership/PeerDatagram.cpp
@@ -58,10 +58,12 @@
     datagram.purpose = static_cast<PeerPurpose>(purpose);
     datagram.number = fields.at(2).get<std::uint64_t>();
     datagram.sender = memberOf(fields.at(3));
-    for (const json &member : fields.at(4)) {
+    datagram.alive = fields.at(4).get<std::uint64_t>();
+    datagram.revision = fields.at(5).get<std::int64_t>();
+    for (const json &member : fields.at(6)) {
         datagram.members.push_back(memberOf(member));
     }
-    for (const json &crash : fields.at(5)) {
+    for (const json &crash : fields.at(7)) {
         datagram.crashes.push_back({Fingerprint{crash.at(0).get<std::uint64_t>()}, crash.at(1).get<std::uint64_t>()});
     }
     return datagram;
@@ -93,6 +95,8 @@
                                           static_cast<int>(datagram.purpose),
                                           datagram.number,
                                           toJson(datagram.sender),
+                                          datagram.alive,
+                                          datagram.revision,
                                           std::move(members),
                                           std::move(crashes)})
                                  .dump(-1, ' ', false, json::error_handler_t::replace);
--- a/src/membership/PeerDatagram.h
+++ b/src/membership/PeerDatagram.h
@@ -35,6 +35,8 @@
     PeerPurpose purpose = PeerPurpose::News;
     std::uint64_t number = 0; ///< Of a probe, repeated by its answer.
     Member sender;
+    std::uint64_t alive = 0;   ///< Other hosts that the sender takes to be alive.
+    std::int64_t revision = 0; ///< Of the published state that the sender knows.
     std::vector<Member> members;
     std::vector<CrashReport> crashes;
 };
--- /dev/null
+++ b/src/relay/RelayMessages.cpp
@@ -0,0 +1,140 @@
+/*
+ * Part relay: messages as a query and as JSON.
+ */
+#include "relay/RelayMessages.h"
+
+#include "core/Hmac.h"
+#include "request/JsonFields.h"
+
+#include <charconv>
+#include <fmt/format.h>
+
+namespace magnoliaspan {
+
+namespace {
+
+using internal::Json;
+using internal::JsonFields;
+
+constexpr std::string_view pathAll = "/published";
+constexpr std::string_view pathAfter = "/published?after=";
+constexpr std::string_view waitField = "&wait_ms=";
+
+std::optional<std::int64_t> number(std::string_view text)
+{
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size() || value < 0) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+bool readItem(const Json &json, PublishedItem &item)
+{
+    if (!json.is_object()) {
+        return false;
+    }
+    JsonFields fields(json);
+    fields.read("key", item.key);
+    fields.read("revision", item.revision);
+    if (fields.has("value")) {
+        item.encoded.emplace();
+        fields.read("value", *item.encoded);
+    }
+    return fields.good();
+}
+
+} // namespace
+
+RelayCodec::RelayCodec(std::string key)
+    : key_(std::move(key))
+{
+}
+
+std::string RelayCodec::encode(const RelayRequest &request)
+{
+    if (!request.after) {
+        return std::string(pathAll);
+    }
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(request.wait).count();
+    return fmt::format("{}{}{}{}", pathAfter, *request.after, waitField, wait);
+}
+
+std::optional<RelayRequest> RelayCodec::decodeRequest(std::string_view target)
+{
+    if (target == pathAll) {
+        return RelayRequest{};
+    }
+    const auto wait = target.find(waitField);
+    if (!target.starts_with(pathAfter) || wait == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto after = number(target.substr(pathAfter.size(), wait - pathAfter.size()));
+    const auto waitMs = number(target.substr(wait + waitField.size()));
+    if (!after || !waitMs) {
+        return std::nullopt;
+    }
+    return RelayRequest{after, std::chrono::milliseconds(*waitMs)};
+}
+
+std::string RelayCodec::sign(std::string_view text) const
+{
+    return hmacSha256(key_, text);
+}
+
+std::string RelayCodec::encode(const DiscoveryReading &reading) const
+{
+    Json items = Json::array();
+    for (const PublishedItem &item : reading.items) {
+        Json json{{"key", item.key}, {"revision", item.revision}};
+        if (item.encoded) {
+            json["value"] = *item.encoded;
+        }
+        items.push_back(std::move(json));
+    }
+    const Json json{{"revision", reading.revision},
+                    {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(reading.age).count()},
+                    {"history_lost", reading.historyLost},
+                    {"unsettled", reading.unsettled},
+                    {"items", std::move(items)}};
+    const std::string body = json.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return sign(body) + " " + body;
+}
+
+std::optional<DiscoveryReading> RelayCodec::decode(std::string_view body, const ItemDecoder &decoder) const
+{
+    const auto space = body.find(' ');
+    if (space == std::string_view::npos || !sameDigest(body.substr(0, space), sign(body.substr(space + 1)))) {
+        return std::nullopt;
+    }
+    const auto json = internal::parseObject(body.substr(space + 1));
+    if (!json) {
+        return std::nullopt;
+    }
+    JsonFields fields(*json);
+    DiscoveryReading reading;
+    std::int64_t age = 0;
+    fields.read("revision", reading.revision);
+    fields.read("age_ms", age);
+    fields.read("history_lost", reading.historyLost);
+    fields.read("unsettled", reading.unsettled);
+    reading.age = std::chrono::milliseconds(age);
+    const Json *items = fields.array("items");
+    if (items == nullptr || !fields.good()) {
+        return std::nullopt;
+    }
+    for (const Json &element : *items) {
+        PublishedItem item;
+        if (!readItem(element, item)) {
+            return std::nullopt;
+        }
+        if (auto change = decoder.decode(item)) {
+            reading.changes.push_back(std::move(*change));
+        }
+        reading.items.push_back(std::move(item));
+    }
+    return reading;
+}
+
+} // namespace magnoliaspan
--- a/tests/unit/ForwardFixture.h
+++ b/tests/unit/ForwardFixture.h
@@ -50,6 +50,13 @@
     std::deque<DiscoveryReading> readings_;
 };
 
+/// Items of these tests mean nothing.
+class NoDecoder : public ItemDecoder
+{
+public:
+    std::optional<DiscoveryChange> decode(const PublishedItem &item) const override;
+};
+
 /// How a fake target treats requests.
 enum class Behaviour { Answer, Shed, Fail, Silent, OtherTarget, Crash };
 
@@ -147,6 +154,7 @@
     FakeNetwork network{time};
     FakeTransport transport{network, process, "host", "here"};
     ProcessTime targetTime{time, {}};
+    NoDecoder decoder;
     PlainCodec codec;
     ScriptedDiscovery discovery{process, process};
     FakeDatagrams datagrams{time};
--- /dev/null
+++ b/tests/unit/RelayTest.cpp
@@ -0,0 +1,415 @@
+/*
+ * Unit tests: hosts that read what is published from each other, on the manual clock.
+ */
+#include "ForwardFixture.h"
+#include "discovery/DiscoveryController.h"
+#include "relay/RelayService.h"
+#include "relay/RelaySource.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace magnoliaspan;
+using namespace magnoliaspan::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Items are targets, named by their key.
+class TargetDecoder : public ItemDecoder
+{
+public:
+    std::optional<DiscoveryChange> decode(const PublishedItem &item) const override
+    {
+        if (!item.encoded) {
+            return TargetRemoved{item.key};
+        }
+        TargetEntry entry;
+        entry.id = item.key;
+        entry.service = *item.encoded;
+        return TargetPublished{entry};
+    }
+};
+
+/// What is published, and whether it can be read by whom.
+class Publisher
+{
+public:
+    void put(const std::string &key)
+    {
+        items_[key] = {key, ++revision, "s"};
+    }
+
+    void remove(const std::string &key)
+    {
+        items_[key] = {key, ++revision, std::nullopt};
+    }
+
+    DiscoveryReading since(std::int64_t after) const
+    {
+        DiscoveryReading reading;
+        reading.revision = revision;
+        for (const auto &[key, item] : items_) {
+            if (item.revision > after && (after > 0 || item.encoded)) {
+                reading.items.push_back(item);
+                reading.changes.push_back(*TargetDecoder().decode(item));
+            }
+        }
+        return reading;
+    }
+
+    std::int64_t revision = 1;
+
+private:
+    std::map<std::string, PublishedItem> items_;
+};
+
+/// A host's own way to the publisher.
+class OwnWay : public DiscoverySource
+{
+public:
+    OwnWay(ProcessTime &time, const Publisher &publisher)
+        : time_(time)
+        , publisher_(publisher)
+    {
+    }
+
+    void readAll(Freshness, Handler handler) override
+    {
+        ++calls;
+        later(milliseconds(5), [this, handler] { handler(failing ? failure() : publisher_.since(0)); });
+    }
+
+    void watch(std::int64_t revision, Duration wait, Handler handler) override
+    {
+        ++calls;
+        deaf_ = false;
+        poll(revision, time_.now() + wait, handler);
+    }
+
+    void cancel() override
+    {
+        ++generation_;
+    }
+
+    /// The running call hears nothing more, until it ends as if nothing had changed.
+    void silence()
+    {
+        deaf_ = true;
+    }
+
+    bool failing = false; ///< Calls fail.
+    unsigned calls = 0;
+
+private:
+    static DiscoveryReading failure()
+    {
+        DiscoveryReading reading;
+        reading.error = std::make_error_code(std::errc::timed_out);
+        return reading;
+    }
+
+    void later(Duration delay, const std::function<void()> &action)
+    {
+        time_.callAt(time_.now() + delay, [this, action, generation = generation_] {
+            if (generation == generation_) {
+                action();
+            }
+        });
+    }
+
+    void poll(std::int64_t revision, TimePoint until, const Handler &handler)
+    {
+        later(milliseconds(5), [this, revision, until, handler] {
+            const bool changed = publisher_.revision > revision && !deaf_;
+            if (failing) {
+                handler(failure());
+            } else if (changed || time_.now() >= until) {
+                DiscoveryReading reading = changed ? publisher_.since(revision) : DiscoveryReading();
+                reading.revision = changed ? reading.revision : revision;
+                handler(reading);
+            } else {
+                poll(revision, until, handler);
+            }
+        });
+    }
+
+    ProcessTime &time_;
+    const Publisher &publisher_;
+    unsigned generation_ = 0; // Of the running call.
+    bool deaf_ = false;       // Whether the running call hears nothing more.
+};
+
+constexpr Duration watchTime = std::chrono::seconds(5);
+
+struct RelayHost {
+    RelayHost(ManualTime &time, FakeDatagrams &datagrams, FakeNetwork &network, const Publisher &publisher, unsigned number)
+        : process(time, {})
+        , transport(network, process, fmt::format("h{}", number), "z")
+        , own(process, publisher)
+        , journal(
+              process,
+              [this](std::string_view line) { log.emplace_back(line); },
+              100)
+        , registry(journal)
+        , mirror(process)
+        , port(datagrams.bind(address(number)))
+        , gossip(process, process, journal, counters, *port, gossipSettings(number), number + 1)
+        , source({process, process, journal, counters, transport, own, decoder, gossip, mirror}, "key", watchTime, number + 1)
+        , service(process, process, counters, mirror, "key", [this] { return source.unsettled(); })
+        , controller(process, process, journal, source, registry, watchTime, number + 1)
+    {
+        Node node;
+        node.name = fmt::format("h{}", number);
+        node.service = &service;
+        node.time = &process;
+        node.zone = "z";
+        network.place(address(number).toString(), node);
+        Registry::Listener listener;
+        listener.readingApplied = [this] { gossip.setRevision(mirror.revision()); };
+        listener.targetChanged = [](const TargetEntry &) {};
+        listener.targetRemoved = [](const std::string &) {};
+        registry.setListener(std::move(listener));
+        gossip.onRevision([this](std::int64_t revision) { controller.othersKnow(revision); });
+        gossip.start();
+        controller.start();
+    }
+
+    static Endpoint address(unsigned number)
+    {
+        return {fmt::format("10.0.0.{}", number + 1), 7741};
+    }
+
+    static GossipSettings gossipSettings(unsigned number)
+    {
+        GossipSettings settings;
+        settings.self = {fmt::format("h{}", number), "z", address(number), 1'000, HostState::Alive};
+        settings.seeds = {address(0), address(1)};
+        settings.key = "key";
+        return settings;
+    }
+
+    bool knows(const std::string &target) const
+    {
+        return registry.targets().contains(target);
+    }
+
+    ProcessTime process;
+    FakeTransport transport;
+    OwnWay own;
+    TargetDecoder decoder;
+    Counters counters;
+    std::vector<std::string> log;
+    Journal journal;
+    Registry registry;
+    Mirror mirror;
+    std::unique_ptr<DatagramPort> port;
+    GossipController gossip;
+    RelaySource source;
+    RelayService service;
+    DiscoveryController controller;
+};
+
+/// Six hosts of one zone, of which three read for themselves.
+class RelayFixture
+{
+public:
+    RelayFixture()
+    {
+        publisher.put("t1");
+        for (unsigned number = 0; number < 6; ++number) {
+            hosts.push_back(std::make_unique<RelayHost>(time, datagrams, network, publisher, number));
+        }
+        run(seconds(10));
+        std::vector<unsigned> before;
+        for (const auto &host : hosts) {
+            before.push_back(host->own.calls);
+        }
+        run(seconds(12));
+        for (std::size_t number = 0; number < hosts.size(); ++number) {
+            (hosts[number]->own.calls > before[number] ? readers : followers).push_back(hosts[number].get());
+        }
+    }
+
+    ~RelayFixture()
+    {
+        // Calls end before the hosts that they were made to.
+        for (const auto &host : hosts) {
+            host->source.cancel();
+        }
+    }
+
+    RelayFixture(const RelayFixture &) = delete;
+    RelayFixture &operator=(const RelayFixture &) = delete;
+
+    void run(Duration duration)
+    {
+        time.runUntil(time.now() + duration);
+    }
+
+    bool allKnow(const std::string &target) const
+    {
+        return std::all_of(hosts.begin(), hosts.end(), [&target](const auto &host) { return host->knows(target); });
+    }
+
+    ManualTime time;
+    FakeDatagrams datagrams{time};
+    FakeNetwork network{time};
+    Publisher publisher;
+    std::vector<std::unique_ptr<RelayHost>> hosts;
+    std::vector<RelayHost *> readers;
+    std::vector<RelayHost *> followers;
+};
+
+} // namespace
+
+TEST_CASE("relay: three hosts of a zone read for themselves, the others from them, and all follow within a second")
+{
+    RelayFixture fixture;
+    CHECK(fixture.readers.size() == 3);
+    CHECK(fixture.followers.size() == 3);
+    CHECK(fixture.allKnow("t1"));
+    fixture.publisher.put("t2");
+    fixture.run(seconds(1));
+    CHECK(fixture.allKnow("t2"));
+    fixture.publisher.remove("t1");
+    fixture.run(seconds(2));
+    for (const auto &host : fixture.hosts) {
+        CHECK_FALSE(host->knows("t1"));
+    }
+}
+
+TEST_CASE("relay: a follower whose reader hangs reads for itself within the shortest bound on configuration, three seconds")
+{
+    RelayFixture fixture;
+    for (RelayHost *reader : fixture.readers) {
+        reader->process.freeze(true);
+    }
+    fixture.publisher.put("t2");
+    fixture.run(seconds(3));
+    for (const RelayHost *follower : fixture.followers) {
+        CHECK(follower->knows("t2"));
+    }
+}
+
+TEST_CASE("relay: a host whose own connection went silent learns from others that it is behind")
+{
+    RelayFixture fixture;
+    RelayHost &reader = *fixture.readers.front();
+    // Its running call began just now, so that it would wait for almost five seconds.
+    const unsigned before = reader.own.calls;
+    while (reader.own.calls == before) {
+        fixture.run(milliseconds(10));
+    }
+    reader.own.silence();
+    fixture.publisher.put("t2");
+    fixture.run(milliseconds(3'500));
+    CHECK(fixture.allKnow("t2"));
+}
+
+TEST_CASE("relay: a host that cannot read for itself hears from others, and does not take the source for regained")
+{
+    RelayFixture fixture;
+    RelayHost &cut = *fixture.readers.front();
+    cut.own.failing = true;
+    fixture.run(seconds(10));
+    fixture.publisher.put("t2");
+    fixture.run(seconds(4));
+    CHECK(cut.knows("t2"));
+    const auto regained = std::count_if(
+        cut.log.begin(), cut.log.end(), [](const std::string &line) { return line.find("discovery regained") != std::string::npos; });
+    CHECK(regained == 0);
+}
+
+TEST_CASE("relay: a host that starts while it is cut from the source learns everything from others")
+{
+    RelayFixture fixture;
+    RelayHost late(fixture.time, fixture.datagrams, fixture.network, fixture.publisher, 6);
+    late.own.failing = true;
+    fixture.run(seconds(6));
+    CHECK(late.knows("t1"));
+}
+
+TEST_CASE("relay: what lapsed while the source was away stays a while at followers, too")
+{
+    RelayFixture fixture;
+    for (const auto &host : fixture.hosts) {
+        host->own.failing = true;
+    }
+    fixture.run(seconds(4));
+    fixture.publisher.remove("t1");
+    for (const auto &host : fixture.hosts) {
+        host->own.failing = false;
+    }
+    fixture.run(seconds(2));
+    CHECK(fixture.allKnow("t1"));
+    fixture.run(seconds(8));
+    for (const auto &host : fixture.hosts) {
+        CHECK_FALSE(host->knows("t1"));
+    }
+}
+
+TEST_CASE("relay: the mirror gives what changed, and tells when it no longer knows")
+{
+    ManualTime time;
+    Mirror mirror(time);
+    CHECK(mirror.empty());
+    DiscoveryReading reading;
+    reading.revision = 5;
+    reading.items = {{"a", 3, "x"}, {"b", 5, "y"}};
+    mirror.apply(reading, true);
+    CHECK_FALSE(mirror.since(4));
+    CHECK(mirror.since(5)->empty());
+    reading.revision = 7;
+    reading.items = {{"a", 6, std::nullopt}, {"b", 7, "z"}};
+    mirror.apply(reading, false);
+    REQUIRE(mirror.since(5)->size() == 2);
+    CHECK(mirror.since(5)->front().key == "a");
+    CHECK(mirror.since(6)->size() == 1);
+    CHECK(mirror.all().size() == 1);
+    time.runUntil(time.now() + seconds(3));
+    CHECK(mirror.age() == seconds(3));
+}
+
+TEST_CASE("relay: messages with another key, damaged or of another kind are refused")
+{
+    const RelayCodec codec("key");
+    const TargetDecoder decoder;
+    DiscoveryReading reading;
+    reading.revision = 5;
+    reading.unsettled = true;
+    reading.age = milliseconds(300);
+    reading.items = {{"a", 3, "x"}, {"b", 5, std::nullopt}};
+    const std::string text = codec.encode(reading);
+    const auto read = codec.decode(text, decoder);
+    REQUIRE(read);
+    CHECK(read->changes.size() == 2);
+    CHECK(read->unsettled);
+    CHECK(read->age == milliseconds(300));
+    CHECK_FALSE(read->items.at(1).encoded);
+    CHECK_FALSE(RelayCodec("other").decode(text, decoder));
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        std::string damaged = text;
+        damaged[at] = static_cast<char>(damaged[at] ^ 1);
+        CHECK_FALSE(codec.decode(damaged, decoder));
+        CHECK_FALSE(codec.decode(text.substr(0, at), decoder));
+    }
+    CHECK(RelayCodec::decodeRequest("/published")->after == std::nullopt);
+    CHECK(RelayCodec::decodeRequest(RelayCodec::encode({7, seconds(2)}))->wait == seconds(2));
+    for (const char *bad :
+         {"", "/", "/published?after=", "/published?after=x&wait_ms=1", "/published?after=1&wait_ms=-1", "/published?after=1"}) {
+        CHECK_FALSE(RelayCodec::decodeRequest(bad));
+    }
+}
+
+TEST_CASE("relay: a request without the key gets nothing")
+{
+    RelayFixture fixture;
+    ServiceRequest request;
+    request.method = "GET";
+    request.target = "/published";
+    unsigned status = 0;
+    fixture.hosts.front()->service.handle(request, [&status](const ServiceReply &reply) { status = reply.status; });
+    CHECK(status == 403);
+}
