What cannot be answered before its deadline is refused at once

Ruled out: too few connections or too low a limit of concurrent sends (a trial with a log line for each send showed the last replica of a shard at 24 answers a second and 300 ms each, 10 at once: it was slow itself); a better order of the queue (what runs alone takes longer than the goal there). Change: before a request takes the time of any target, the end of its wait is predicted from each replica's queue, its pace and its limit; if too few services can answer before the deadline, it is refused as not run, with the time until the queue has room as Retry-After.

--- a/src/forward/ForwardOperation.cpp
+++ b/src/forward/ForwardOperation.cpp
@@ -84,13 +84,7 @@
 void ForwardOperation::start()
 {
     const auto self = shared_from_this();
-    std::size_t reachable = 0;
-    for (const ServicePart &part : parts_) {
-        reachable += replicas_.available({part.call->service(), context_->route->name, context_->route->allowedRegions, {}}) ? 1 : 0;
-    }
-    const bool possible = shards_ == nullptr ? reachable == 1 : coverageReached(reachable, parts_.size(), shards_->minimumCoverage);
-    if (!possible) {
-        refuse(statusUnavailable, fmt::format("targets of {} of {} services can be reached", reachable, parts_.size()));
+    if (!admit()) {
         return;
     }
     deadlineTimer_ = environment_.scheduler.callAt(context_->deadline, [self] { self->deadlineDue(); });
@@ -104,6 +98,40 @@
     }
 }
 
+// What cannot be answered before the deadline is refused before it takes the time of any target.
+bool ForwardOperation::admit()
+{
+    std::size_t reachable = 0;
+    std::size_t inTime = 0;
+    std::optional<Duration> leastLateness;
+    for (const ServicePart &part : parts_) {
+        const ReplicaQuery query{part.call->service(), context_->route->name, context_->route->allowedRegions, {}};
+        if (!replicas_.available(query)) {
+            continue;
+        }
+        ++reachable;
+        const Duration lateness = replicas_.lateness(query, context_->deadline);
+        if (lateness == Duration::zero()) {
+            ++inTime;
+        } else {
+            leastLateness = std::min(lateness, leastLateness.value_or(lateness));
+        }
+    }
+    const auto enough = [this](std::size_t count) {
+        return shards_ == nullptr ? count == 1 : coverageReached(count, parts_.size(), shards_->minimumCoverage);
+    };
+    if (!enough(reachable)) {
+        refuse(statusUnavailable, fmt::format("targets of {} of {} services can be reached", reachable, parts_.size()));
+        return false;
+    }
+    if (!enough(inTime)) {
+        const std::string cause = fmt::format("targets of {} of {} services can answer in time", inTime, parts_.size());
+        deliver(refusalReply(statusUnavailable, cause, std::max(leastRetry, *leastLateness)), cause);
+        return false;
+    }
+    return true;
+}
+
 void ForwardOperation::partEnded(std::size_t index, CallResult result)
 {
     if (!handler_) {
--- a/src/forward/ForwardOperation.h
+++ b/src/forward/ForwardOperation.h
@@ -64,6 +64,7 @@
         CallResult result;
     };
 
+    bool admit();
     void partEnded(std::size_t index, CallResult result);
     void singleEnded();
     void step();
--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -180,6 +180,13 @@
     return view;
 }
 
+TimePoint Replica::predictedEnd(const std::string &workKind, const UsualLatency &usual) const
+{
+    const Duration each = expected(workKind, usual);
+    const auto ahead = static_cast<Duration::rep>(queue_.size());
+    return environment_.clock.now() + each + each * ahead / std::max(1U, concurrency_.current());
+}
+
 std::size_t Replica::sends() const
 {
     return sends_.size();
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -98,6 +98,9 @@
 
     Duration expected(const std::string &workKind, const UsualLatency &usual) const;
 
+    /// \returns when a send that joined the queue now would end, if the queue goes on at its present pace.
+    TimePoint predictedEnd(const std::string &workKind, const UsualLatency &usual) const;
+
     /// \brief Sends \p order on an idle or new connection, or queues it until one is free.
     SendId send(SendOrder order);
 
--- a/src/forward/ReplicaController.cpp
+++ b/src/forward/ReplicaController.cpp
@@ -253,6 +253,17 @@
     return std::any_of(all.begin(), all.end(), [](const auto &replica) { return replica->entry().stage == TargetStage::Ready; });
 }
 
+Duration ReplicaController::lateness(const ReplicaQuery &query, TimePoint deadline) const
+{
+    std::optional<TimePoint> earliest;
+    const std::string kind(query.workKind);
+    for (const auto &replica : candidates(query)) {
+        const TimePoint end = replica->predictedEnd(kind, usualAt(query.service, kind, replica->limits().otherRegion));
+        earliest = std::min(end, earliest.value_or(end));
+    }
+    return earliest ? std::max(Duration::zero(), *earliest - deadline) : Duration::zero();
+}
+
 std::optional<TimePoint> ReplicaController::nextTrial(const ReplicaQuery &query) const
 {
     std::optional<TimePoint> earliest;
--- a/src/forward/ReplicaController.h
+++ b/src/forward/ReplicaController.h
@@ -61,6 +61,10 @@
     /// \returns whether pick() would find a replica, cold ones included.
     bool available(const ReplicaQuery &query) const;
 
+    /// \returns how much too late the earliest of the replicas would answer for \p deadline, judged by their queues; zero when
+    /// one would be in time or none can be used.
+    Duration lateness(const ReplicaQuery &query, TimePoint deadline) const;
+
     /// \returns when a replica that cannot be reached now is tried again; nothing when there is none.
     std::optional<TimePoint> nextTrial(const ReplicaQuery &query) const;
 
