A late send asks again for leave to be sent a second time

Ruled out: taking silent connects to a target for its death (a full queue of new connections drops them too); giving up with 502 at once (the answer may still come). Change: the late send asks for leave again every 100 ms; the budget is the same. The test failed before.

--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -17,6 +17,8 @@
 constexpr unsigned maxRefusals = 2;
 // A send of work that must not run twice moves to another target when no connection stands after this time.
 constexpr Duration unsentLimit = std::chrono::milliseconds(150);
+// A send that is late while the budget of extra sends is used up asks again after this time: its target may be dead.
+constexpr Duration lateInterval = std::chrono::milliseconds(100);
 // A refusal is of full use to the caller within the first quarter of its latency goal.
 constexpr int refusalParts = 4;
 // Several times within the shortest latency goals, and no busy loop.
@@ -147,7 +149,12 @@
     if (repeatable && lastUse > now && attempt.startedAt + delay > lastUse) {
         delay = std::max(attempt.expected + attempt.expected / 2, lastUse - attempt.startedAt);
     }
-    timer_ = environment_.scheduler.callAt(attempt.startedAt + delay, [weak = weak_from_this()] {
+    armAt(attempt.startedAt + delay);
+}
+
+void ShardCall::armAt(TimePoint instant)
+{
+    timer_ = environment_.scheduler.callAt(instant, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->secondDue();
         }
@@ -170,7 +177,9 @@
         return;
     }
     cause_ = "late";
-    sendNext(Reason::Late);
+    if (!sendNext(Reason::Late)) {
+        armAt(environment_.clock.now() + lateInterval);
+    }
 }
 
 // A send that waits for a connection may move to another replica at no cost; without another it goes on waiting.
--- a/src/forward/ShardCall.h
+++ b/src/forward/ShardCall.h
@@ -80,6 +80,7 @@
     void retryParked();
     bool mayRunAgain() const;
     void arm();
+    void armAt(TimePoint instant);
     void secondDue();
     void ended(std::uint64_t number, SendResult result);
     void tellCrashGuard(const Attempt &attempt, const SendResult &result);
--- a/tests/unit/AdmissionTest.cpp
+++ b/tests/unit/AdmissionTest.cpp
@@ -52,3 +52,34 @@
         CHECK(served >= 18);
     }
 }
+
+TEST_CASE("forward: pattern dark target, a request that waits there is sent again once the budget allows it, not held to its deadline")
+{
+    ForwardFixture fixture;
+    fixture.limits.extraSendSlack = 0;
+    FakeTarget &dark = fixture.addTarget("t1", {"s", "here", 6});
+    fixture.addTarget("t2", {"s", "there"});
+    fixture.publish({ForwardFixture::route("a", ToService{"s"})});
+    // Connections stand when the target goes dark.
+    for (int request = 0; request < 20; ++request) {
+        fixture.call("a");
+        fixture.run(milliseconds(request % 5 == 0 ? 100 : 0));
+    }
+    fixture.run(milliseconds(200));
+    dark.behaviour = Behaviour::Silent;
+    // They begin at the dark target; the budget holds one extra send.
+    std::vector<std::shared_ptr<CallerAnswer>> answers;
+    answers.reserve(4);
+    for (int request = 0; request < 4; ++request) {
+        answers.push_back(fixture.call("a", seconds(2)));
+    }
+    fixture.run(milliseconds(300));
+    const auto served
+        = [&answers] { return std::count_if(answers.begin(), answers.end(), [](const auto &answer) { return answer->status == 200; }); };
+    CHECK(served() < 4);
+    for (int request = 0; request < 24; ++request) {
+        fixture.call("a");
+        fixture.run(milliseconds(50));
+    }
+    CHECK(served() == 4);
+}
