--- a/src/forward/ForwardOperation.cpp
+++ b/src/forward/ForwardOperation.cpp
@@ -290,20 +290,24 @@
         sends += part.call->sends();
     }
     const auto ms = [](Duration duration) { return static_cast<double>(duration.count()) / 1'000; };
-    environment_.journal.note(Part::Plan,
-                              context_->request.id,
-                              fmt::format("request ended route={} table={} status={} outcome=\"{}\" services={} sends={} missing=\"{}\" "
-                                          "took_ms={:.1f} goal_left_ms={:.1f} deadline_left_ms={:.1f}",
-                                          context_->route->name,
-                                          context_->table->version(),
-                                          reply.status,
-                                          outcome,
-                                          parts_.size(),
-                                          sends,
-                                          missingText(),
-                                          ms(now - startedAt_),
-                                          ms(context_->goal - now),
-                                          ms(context_->deadline - now)));
+    environment_.journal.note(
+        Part::Plan,
+        context_->request.id,
+        fmt::format(
+            "request ended route={} table={} status={} outcome=\"{}\" services={} sends={} max_targets={} repeatable={} missing=\"{}\" "
+            "took_ms={:.1f} goal_left_ms={:.1f} deadline_left_ms={:.1f}",
+            context_->route->name,
+            context_->table->version(),
+            reply.status,
+            outcome,
+            parts_.size(),
+            sends,
+            context_->route->maxTargets,
+            context_->route->repeatability == Repeatability::Idempotent,
+            missingText(),
+            ms(now - startedAt_),
+            ms(context_->goal - now),
+            ms(context_->deadline - now)));
     environment_.counters.observe(
         fmt::format("magnoliaspan_request_seconds{{route=\"{}\",status=\"{}\"}}", context_->route->name, reply.status), now - startedAt_);
     for (ServicePart &part : parts_) {
