--- a/tests/unit/ForwardFixture.cpp
+++ b/tests/unit/ForwardFixture.cpp
@@ -144,8 +144,8 @@
         return {};
     }
     ++runs[headerOf(request.headers, "id")];
-    if (now == Behaviour::Fail) {
-        handler({500, "", "", false, {{"signature", id}}});
+    if (now == Behaviour::Fail || now == Behaviour::FailUnavailable) {
+        handler({now == Behaviour::Fail ? 500U : 503U, "", "", false, {{"signature", id}}});
         return {};
     }
     if (now == Behaviour::Crash) {
--- a/tests/unit/ForwardFixture.h
+++ b/tests/unit/ForwardFixture.h
@@ -58,7 +58,15 @@
 };
 
 /// How a fake target treats requests.
-enum class Behaviour { Answer, Shed, Fail, Silent, OtherTarget, Crash };
+enum class Behaviour {
+    Answer,
+    Shed,            ///< Refuses without running the request.
+    Fail,            ///< Runs it and answers 500.
+    FailUnavailable, ///< Runs it and answers 503, which looks like a refusal.
+    Silent,
+    OtherTarget,
+    Crash
+};
 
 /// A target that works on several requests at once and queues the others.
 class FakeTarget : public Service
--- a/tests/unit/ForwardTest.cpp
+++ b/tests/unit/ForwardTest.cpp
@@ -198,6 +198,18 @@
     CHECK(answer->header("signature") == "t1");
 }
 
+TEST_CASE("forward: a target's own 503 to a request that it ran does not reach the caller, who would take it for a promise")
+{
+    ForwardFixture fixture;
+    fixture.addTarget("t1", {"s", "here"}).behaviour = Behaviour::FailUnavailable;
+    fixture.publish({ForwardFixture::route("a", ToService{"s"}, Repeatability::NonIdempotent)});
+    const auto answer = fixture.call("a", seconds(2), "POST");
+    fixture.run(milliseconds(100));
+    CHECK(answer->status == 502);
+    CHECK(answer->header("signature").empty());
+    CHECK(totalRuns(fixture, "r1") == 1);
+}
+
 TEST_CASE("forward: the greatest records of all shards, equal ones each")
 {
     const std::string low(16, 'a');
--- a/tests/unit/GossipTest.cpp
+++ b/tests/unit/GossipTest.cpp
@@ -2,10 +2,12 @@
  * Unit tests: hosts that find and watch each other, on the manual clock.
  */
 #include "FakeDatagrams.h"
+#include "core/Hmac.h"
 #include "membership/GossipController.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <random>
 
 using namespace magnoliaspan;
 using namespace magnoliaspan::testing;
@@ -258,3 +260,31 @@
         CHECK_FALSE(codec.decode(text.substr(0, at), reason));
     }
 }
+
+TEST_CASE("membership: changed bytes under the right key never end the process, and what is read is within its ranges")
+{
+    const PeerDatagramCodec codec("key");
+    PeerDatagram datagram;
+    datagram.sender = {"h1", "z1", addressOf(1), 1'000, HostState::Alive};
+    datagram.members = {{"h2", "z2", addressOf(2), 900, HostState::Gone}};
+    datagram.crashes = {{Fingerprint{7}, 5}};
+    const std::string body = codec.encode(datagram).substr(33);
+    std::mt19937_64 random(1);
+    unsigned readable = 0;
+    for (int round = 0; round < 3'000; ++round) {
+        std::string changed = body;
+        for (int change = 0; change <= round % 4; ++change) {
+            changed.at(random() % changed.size()) = static_cast<char>(random() % 128);
+        }
+        std::string reason;
+        const auto read = codec.decode(hmacSha256("key", changed).substr(0, 32) + " " + changed, reason);
+        CHECK(read.has_value() == reason.empty());
+        if (!read) {
+            continue;
+        }
+        ++readable;
+        CHECK_FALSE(read->sender.name.empty());
+        CHECK(read->sender.state <= HostState::Left);
+    }
+    CHECK(readable > 0);
+}
--- a/tests/unit/RelayTest.cpp
+++ b/tests/unit/RelayTest.cpp
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <random>
 
 using namespace magnoliaspan;
 using namespace magnoliaspan::testing;
@@ -413,3 +414,24 @@
     fixture.hosts.front()->service.handle(request, [&status](const ServiceReply &reply) { status = reply.status; });
     CHECK(status == 403);
 }
+
+TEST_CASE("relay: changed bytes under the right key never end the process")
+{
+    const RelayCodec codec("key");
+    DiscoveryReading reading;
+    reading.revision = 5;
+    reading.items = {{"a", 3, "x"}, {"b", 5, std::nullopt}};
+    const std::string text = codec.encode(reading);
+    const std::string body = text.substr(text.find(' ') + 1);
+    std::mt19937_64 random(1);
+    unsigned refused = 0;
+    for (int round = 0; round < 3'000; ++round) {
+        std::string changed = body;
+        for (int change = 0; change <= round % 4; ++change) {
+            changed.at(random() % changed.size()) = static_cast<char>(random() % 128);
+        }
+        refused += codec.decode(codec.sign(changed) + " " + changed, TargetDecoder()) ? 0 : 1;
+    }
+    CHECK(refused > 0);
+    CHECK(refused < 3'000);
+}
