--- a/tests/unit/ReplicaTest.cpp
+++ b/tests/unit/ReplicaTest.cpp
@@ -53,6 +53,7 @@
     fixture.addTarget("t1", {"s", "here", 1}).work = milliseconds(400);
     fixture.publish({ForwardFixture::route("a", ToService{"s"}, Repeatability::NonIdempotent)});
     std::vector<std::shared_ptr<CallerAnswer>> answers;
+    answers.reserve(6);
     for (int call = 0; call < 6; ++call) {
         answers.push_back(fixture.call("a", seconds(2), "POST"));
     }
