Divide the slack of extra sends by traffic, and count it over the published window

What idle hosts held was lost to all. Change: hosts average their load by pairwise exchanges in epochs of 3 s (LoadAverage), and each gets the part of the slack that its load has of the mean; weights add up to the number of hosts, also in a partition, and one above 1 lapses after nine seconds without a result, suspensions included. The budget (ExtraSendBudget) counts requests and extra sends over ten to eleven seconds, instead of a bucket that allowed half of its part at once and three tenths over the window, so that the bound holds for any window. The test of a pending hedge used a budget of a single token for its load; it now gets a ratio at which three of four are allowed, with the same checks.

--- a/src/app/ForwardHost.cpp
+++ b/src/app/ForwardHost.cpp
@@ -161,6 +161,9 @@
         journal_.record(LogCategory::Pause, "", "process was paused, reading routes and targets again");
         discovery_.refresh();
     }
+    // One more than the requests, so that a host without any keeps a part of the limits.
+    gossip_.setLoad(1.0 + forwardService_.recentRequests());
+    replicas_.setTrafficWeight(gossip_.loadWeight());
     if (now >= nextReplicaTick_) {
         nextReplicaTick_ = now + replicaTickInterval;
         replicas_.tick();
@@ -191,14 +194,16 @@
 std::string ForwardHost::metrics() const
 {
     return counters_.exposition()
-           + fmt::format("magnoliaspan_requests_in_flight {}\nmagnoliaspan_replicas {}\nmagnoliaspan_target_connections {}\n"
-                         "magnoliaspan_table_version {}\nmagnoliaspan_hosts {}\nmagnoliaspan_hosts_alive {}\n",
-                         activeRequests_.count(),
-                         replicas_.size(),
-                         replicas_.connections(),
-                         registry_.table() ? registry_.table()->version() : 0,
-                         gossip_.sharingHosts(),
-                         gossip_.aliveCount() + 1);
+           + fmt::format(
+               "magnoliaspan_requests_in_flight {}\nmagnoliaspan_replicas {}\nmagnoliaspan_target_connections {}\n"
+               "magnoliaspan_table_version {}\nmagnoliaspan_hosts {}\nmagnoliaspan_hosts_alive {}\nmagnoliaspan_load_weight {:.3f}\n",
+               activeRequests_.count(),
+               replicas_.size(),
+               replicas_.connections(),
+               registry_.table() ? registry_.table()->version() : 0,
+               gossip_.sharingHosts(),
+               gossip_.aliveCount() + 1,
+               gossip_.loadWeight());
 }
 
 } // namespace magnoliaspan
--- a/src/forward/ForwardService.cpp
+++ b/src/forward/ForwardService.cpp
@@ -162,6 +162,11 @@
     }
 }
 
+unsigned ForwardService::recentRequests() const
+{
+    return admitted_.count(environment_.clock.now());
+}
+
 Service::CancelFunction ForwardService::serve(ForwardRequest request, ReplyHandler handler)
 {
     const RoutingTablePtr table = registry_.table();
@@ -183,6 +188,7 @@
         handler(refuse(request, statusUnavailable, "too many requests in flight", busyRetryAfter));
         return {};
     }
+    admitted_.add(environment_.clock.now());
     ResolvedDestination resolved = resolveDestination(*route);
     const std::uint64_t number = ++lastOperation_;
     auto finished = [this, number, token = activeRequests_.track(), handler = std::move(handler)](ServiceReply reply) {
--- a/src/forward/ForwardService.h
+++ b/src/forward/ForwardService.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "app/ActiveRequests.h"
+#include "core/SlidingCount.h"
 #include "forward/ForwardOperation.h"
 #include "request/Service.h"
 #include "routing/WeightedRoundRobin.h"
@@ -28,6 +29,9 @@
     /// \brief Forwards a request. One that arrives before the first routing table waits for it, for a limited time.
     CancelFunction handle(ServiceRequest request, ReplyHandler handler) override;
 
+    /// \returns the requests admitted within the last SlidingCount::window.
+    unsigned recentRequests() const;
+
     /// \brief Resumes requests that wait for the first routing table, if it is known; to be called after each read.
     void readApplied();
 
@@ -59,6 +63,7 @@
     std::map<std::string, Duration, std::less<>> longestTimeout_; // Longest time-out given by callers so far, by route.
     std::map<std::uint64_t, std::shared_ptr<ForwardOperation>> operations_;
     std::uint64_t lastOperation_ = 0;
+    SlidingCount admitted_;
     std::map<std::uint64_t, PendingRequest> pendingRequests_; // Waiting for the first routing table, in order of arrival.
     std::map<std::uint64_t, CancelFunction> resumedCancels_;  // Cancel functions of resumed requests, by pending number.
     std::uint64_t lastPending_ = 0;
--- a/src/forward/ReplicaController.cpp
+++ b/src/forward/ReplicaController.cpp
@@ -21,20 +21,11 @@
 constexpr Duration initialLocalLatency = std::chrono::milliseconds(15);
 // Includes two one-way trips between regions of current deployments.
 constexpr Duration initialRemoteLatency = std::chrono::milliseconds(45);
-// Shares of the published limit on extra sends that are used; the rest covers requests counted in other windows. One part
-// of the slack may be used at once and another over the length of the window.
-constexpr double extraSendRatioShare = 0.9;
-constexpr double slackBurstShare = 0.5;
-constexpr double slackRefillShare = 0.3;
-// Window over which the published limit is counted.
-constexpr Duration budgetWindow = std::chrono::seconds(10);
 // A replica that was slow is tried again within seconds, but by no more than about one request in ten.
 constexpr Duration minHalfLife = std::chrono::seconds(2);
 constexpr Duration maxHalfLife = std::chrono::seconds(15);
 constexpr int halfLifeRequests = 8;
 constexpr int intervalWeight = 8;
-// With less than one token no extra send could ever be made.
-constexpr double minBurst = 1;
 
 bool isReady(const std::shared_ptr<Replica> &replica)
 {
@@ -63,27 +54,23 @@
 void ReplicaController::setLimits(const ForwardLimits &limits)
 {
     limits_ = limits;
-    applyLimits();
+    onTableAccepted();
 }
 
 void ReplicaController::setHostCount(unsigned hosts)
 {
     limits_.hosts = hosts;
-    applyLimits();
+    onTableAccepted();
 }
 
-// Tokens held are kept: a change of the number of hosts must not allow more extra sends at once.
-void ReplicaController::applyLimits()
+void ReplicaController::setTrafficWeight(double weight)
 {
-    for (auto &[service, traffic] : traffic_) {
-        traffic.extraSends.setLimits(extraSendRatioShare * limits_.extraSendRatio, extraSendBurst());
-    }
-    onTableAccepted();
+    trafficWeight_ = weight;
 }
 
-double ReplicaController::extraSendBurst() const
+ExtraSendLimits ReplicaController::extraSendLimits() const
 {
-    return std::max(minBurst, slackBurstShare * limits_.extraSendSlack / std::max(1U, limits_.hosts));
+    return {limits_.extraSendRatio, limits_.extraSendSlack, static_cast<double>(limits_.hosts), trafficWeight_};
 }
 
 const ForwardLimits &ReplicaController::limits() const
@@ -308,29 +295,21 @@
         return found->second;
     }
     const TimePoint now = environment_.clock.now();
-    return traffic_
-        .emplace(std::string(service),
-                 ServiceTraffic{TokenBucket(extraSendRatioShare * limits_.extraSendRatio, extraSendBurst()), now, now, {}})
-        .first->second;
+    return traffic_.emplace(std::string(service), ServiceTraffic{{}, now, {}}).first->second;
 }
 
 void ReplicaController::recordRequest(std::string_view service)
 {
     const TimePoint now = environment_.clock.now();
     ServiceTraffic &traffic = trafficOf(service);
-    traffic.extraSends.recordRequest();
+    traffic.extraSends.recordRequest(now);
     traffic.meanInterval += (now - traffic.lastRequestAt - traffic.meanInterval) / intervalWeight;
     traffic.lastRequestAt = now;
 }
 
 bool ReplicaController::tryAcquireExtraSend(std::string_view service)
 {
-    const TimePoint now = environment_.clock.now();
-    ServiceTraffic &traffic = trafficOf(service);
-    const double elapsed = std::chrono::duration<double>(now - traffic.refilledAt) / std::chrono::duration<double>(budgetWindow);
-    traffic.extraSends.add(elapsed * slackRefillShare * limits_.extraSendSlack / std::max(1U, limits_.hosts));
-    traffic.refilledAt = now;
-    return traffic.extraSends.tryAcquire();
+    return trafficOf(service).extraSends.tryAcquire(extraSendLimits(), environment_.clock.now());
 }
 
 LatencyBaseline ReplicaController::baselineFor(std::string_view service, std::string_view workKind, bool otherRegion) const
--- a/src/forward/ReplicaController.h
+++ b/src/forward/ReplicaController.h
@@ -3,8 +3,8 @@
  */
 #pragma once
 
-#include "control/TokenBucket.h"
 #include "discovery/Registry.h"
+#include "forward/ExtraSendBudget.h"
 #include "forward/ForwardLimits.h"
 #include "forward/Replica.h"
 
@@ -46,6 +46,10 @@
 
     /// \brief Sets the number of hosts that share the limits.
     void setHostCount(unsigned hosts);
+
+    /// \brief Sets the traffic of this host relative to the mean of all hosts; it gets that part of the extra sends.
+    void setTrafficWeight(double weight);
+
     const ForwardLimits &limits() const;
 
     /// \brief Applies changes of the registry; to be called by its listener.
@@ -93,17 +97,15 @@
 
 private:
     struct ServiceTraffic {
-        TokenBucket extraSends;  // Attempts beyond the first of each request.
-        TimePoint refilledAt;    // When the budget was last refilled from the slack.
-        TimePoint lastRequestAt; // When a request last started.
-        Duration meanInterval{}; // Between requests; a weighted mean.
+        ExtraSendBudget extraSends; // Attempts beyond the first of each request.
+        TimePoint lastRequestAt;    // When a request last started.
+        Duration meanInterval{};    // Between requests; a weighted mean.
     };
 
     using ReplicaList = std::vector<std::shared_ptr<Replica>>;
     using Replicas = std::map<std::string, std::shared_ptr<Replica>, std::less<>>;
 
-    void applyLimits();
-    double extraSendBurst() const;
+    ExtraSendLimits extraSendLimits() const;
     ServiceTraffic &trafficOf(std::string_view service);
     ReplicaLimits limitsFor(const TargetEntry &entry) const;
     bool isUsable(const Replica &replica, const ReplicaQuery &query) const;
@@ -117,6 +119,7 @@
     Registry &registry_;
     HostLocation location_;
     ForwardLimits limits_;
+    double trafficWeight_ = 1;
     Replicas replicas_;
     std::map<std::string, std::set<std::string>, std::less<>> byService_; // Invariant: each id is a key of replicas_.
     std::map<std::string, TimePoint, std::less<>> drainingSince_;         // When this host learned of it, by target id.
--- a/src/membership/GossipController.cpp
+++ b/src/membership/GossipController.cpp
@@ -36,6 +36,12 @@
 // are many when all hosts start together, and are also part of the samples; other updates are few and urgent.
 constexpr unsigned newMemberTransmissions = 1;
 constexpr unsigned urgentTransmissions = 3;
+// Mean time between the exchanges that one host starts.
+constexpr Duration exchangeInterval = std::chrono::milliseconds(500);
+// A host answers no exchange while its own is pending, so an unanswered one must end soon. Several round trips.
+constexpr Duration exchangeTimeout = std::chrono::milliseconds(100);
+// One exchange in this many may be with a host of another zone, where traffic is more expensive.
+constexpr unsigned otherZoneExchangePeriod = 2;
 constexpr Duration crashReportRetention = QuarantineController::lifetime;
 constexpr std::size_t maxKnownCrashReports = 4'000;
 
@@ -59,6 +65,7 @@
     , random_(seed + 1)
     , lastNewMemberAt_(clock.now())
     , sharingHosts_(settings_.assumedHosts)
+    , loadAverage_(clock)
     , lifetimeToken_(std::make_shared<int>(0))
     , timer_(clock, scheduler, joinProbeInterval, [this] { tick(); })
 {
@@ -73,6 +80,7 @@
 {
     tick();
     timer_.start();
+    scheduleLoadExchange();
 }
 
 void GossipController::tick()
@@ -169,6 +177,9 @@
         return;
     }
     counters_.add("magnoliaspan_peer_datagrams_total");
+    if (datagram->load) {
+        handleLoadSample(*datagram);
+    }
     if (datagram->type == DatagramType::Ack) {
         pendingProbes_.erase(datagram->probeNumber);
     }
@@ -193,6 +204,62 @@
     }
 }
 
+// The time is random, because hosts that start an exchange at the same moment do not answer each other.
+void GossipController::scheduleLoadExchange()
+{
+    std::uniform_int_distribution<Duration::rep> wait(exchangeInterval.count() / 2, exchangeInterval.count() * 3 / 2);
+    scheduler_.callAt(clock_.now() + Duration(wait(random_)), [this, token = std::weak_ptr<int>(lifetimeToken_)] {
+        if (!token.expired()) {
+            startLoadExchange();
+            scheduleLoadExchange();
+        }
+    });
+}
+
+void GossipController::startLoadExchange()
+{
+    const bool ownZone = ++exchangeCount_ % otherZoneExchangePeriod != 0;
+    const Member *partner = table_.randomAliveMember(ownZone);
+    if (partner == nullptr && ownZone) {
+        partner = table_.randomAliveMember(false);
+    }
+    if (partner == nullptr) {
+        return;
+    }
+    loadAverage_.dropExchange();
+    exchangeNumber_ = ++lastProbeNumber_;
+    PeerDatagram datagram = composeDatagram(DatagramType::LoadExchange, partner, 0);
+    datagram.probeNumber = exchangeNumber_;
+    datagram.load = loadAverage_.startExchange();
+    send(partner->address, datagram);
+    scheduler_.callAt(clock_.now() + exchangeTimeout, [this, token = std::weak_ptr<int>(lifetimeToken_), number = exchangeNumber_] {
+        if (!token.expired() && number == exchangeNumber_) {
+            exchangeNumber_ = 0;
+            loadAverage_.dropExchange();
+        }
+    });
+}
+
+void GossipController::handleLoadSample(const PeerDatagram &datagram)
+{
+    if (datagram.type == DatagramType::LoadAnswer) {
+        if (datagram.probeNumber == exchangeNumber_) {
+            loadAverage_.completeExchange(*datagram.load);
+            exchangeNumber_ = 0;
+        }
+        return;
+    }
+    const auto answer = loadAverage_.answerExchange(*datagram.load);
+    if (!answer) {
+        return;
+    }
+    const bool countsDiffer = datagram.aliveCount != table_.aliveCount();
+    PeerDatagram reply = composeDatagram(DatagramType::LoadAnswer, table_.find(datagram.sender.name), countsDiffer ? joinSampleSize : 0);
+    reply.probeNumber = datagram.probeNumber;
+    reply.load = answer;
+    send(datagram.sender.address, reply);
+}
+
 void GossipController::applyUpdate(const Member &update)
 {
     if (update.name == table_.self().name) {
@@ -300,8 +367,8 @@
 
 PeerDatagram GossipController::composeDatagram(DatagramType type, const Member *to, std::size_t sample)
 {
-    // Room for the hash, the sender, the numbers and the brackets.
-    constexpr std::size_t headerBytes = 200;
+    // Room for the hash, the sender, the numbers, the load sample and the brackets.
+    constexpr std::size_t headerBytes = 250;
     constexpr std::size_t crashBytes = 45;
     PeerDatagram datagram;
     datagram.type = type;
@@ -427,4 +494,14 @@
     return table_.aliveCount();
 }
 
+void GossipController::setLoad(double load)
+{
+    loadAverage_.setLoad(load);
+}
+
+double GossipController::loadWeight() const
+{
+    return loadAverage_.weight();
+}
+
 } // namespace magnoliaspan
--- a/src/membership/GossipController.h
+++ b/src/membership/GossipController.h
@@ -11,6 +11,7 @@
 #include "core/Counters.h"
 #include "core/Journal.h"
 #include "core/PeriodicTimer.h"
+#include "membership/LoadAverage.h"
 #include "membership/MemberTable.h"
 #include "membership/PeerDatagram.h"
 #include "membership/UpdateQueue.h"
@@ -90,6 +91,14 @@
     /// \returns the number of other hosts that are alive or suspect.
     std::size_t aliveCount() const;
 
+    /// \brief Sets the load of this host, by which limits that all hosts share are divided.
+    /// \sa LoadAverage::setLoad
+    void setLoad(double load);
+
+    /// \returns the load of this host relative to the mean of all hosts.
+    /// \sa LoadAverage::weight
+    double loadWeight() const;
+
 private:
     void tick();
     void probeNext();
@@ -97,6 +106,9 @@
     void sendProbe(const Endpoint &to, const std::string &name);
     void onProbeTimeout(std::uint64_t number);
     void handleDatagram(std::string_view text);
+    void scheduleLoadExchange();
+    void startLoadExchange();
+    void handleLoadSample(const PeerDatagram &datagram);
     void applyUpdate(const Member &update);
     void notifySuspect(const Member &suspect);
     void refuteUpdate(const Member &update);
@@ -138,6 +150,9 @@
     std::function<void(unsigned)> sharingHostsListener_;
     std::function<void(std::int64_t)> revisionListener_;
     std::int64_t revision_ = 0;
+    LoadAverage loadAverage_;
+    std::uint64_t exchangeNumber_ = 0;   // Of the pending exchange; 0 if there is none.
+    unsigned exchangeCount_ = 0;         // Started so far.
     std::shared_ptr<int> lifetimeToken_; // Callbacks hold it weakly and do nothing once the controller is destroyed.
     PeriodicTimer timer_;
 };
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -88,18 +88,29 @@
     return nullptr;
 }
 
+const Member *MemberTable::randomAliveMember(bool ownZone)
+{
+    return randomMember(
+        [this, ownZone](const Member &member) { return member.state == HostState::Alive && (!ownZone || member.zone == self_.zone); });
+}
+
 const Member *MemberTable::randomGoneMember()
 {
-    std::vector<const Member *> gone;
+    return randomMember([](const Member &member) { return member.state == HostState::Gone; });
+}
+
+const Member *MemberTable::randomMember(const std::function<bool(const Member &)> &matches)
+{
+    std::vector<const Member *> candidates;
     for (const auto &[name, record] : others_) {
-        if (record.member.state == HostState::Gone) {
-            gone.push_back(&record.member);
+        if (matches(record.member)) {
+            candidates.push_back(&record.member);
         }
     }
-    if (gone.empty()) {
+    if (candidates.empty()) {
         return nullptr;
     }
-    return gone.at(std::uniform_int_distribution<std::size_t>(0, gone.size() - 1)(random_));
+    return candidates.at(std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(random_));
 }
 
 std::vector<Member> MemberTable::randomMembers(std::size_t count)
--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -6,6 +6,7 @@
 #include "core/Time.h"
 #include "membership/Member.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -43,6 +44,10 @@
     /// \returns null if no other host is alive or suspect.
     const Member *nextMemberToProbe();
 
+    /// \brief Selects a random host that is alive, of the own zone or of any.
+    /// \returns null if there is none.
+    const Member *randomAliveMember(bool ownZone);
+
     /// \brief Selects a random host in state Gone, so that contact is restored after a network partition has healed.
     /// \returns null if there is none.
     const Member *randomGoneMember();
@@ -70,6 +75,7 @@
         TimePoint changedAt; // Time of the last update that was stored.
     };
 
+    const Member *randomMember(const std::function<bool(const Member &)> &matches);
     const Member *nextInRound(std::vector<std::string> &round, bool ownZone);
     static bool mayBeAlive(const Member &member);
     static bool sharesLimits(const Record &record, TimePoint now);
--- a/src/membership/PeerDatagram.cpp
+++ b/src/membership/PeerDatagram.cpp
@@ -5,6 +5,7 @@
 
 #include "core/Hmac.h"
 
+#include <cmath>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -44,6 +45,25 @@
     return member;
 }
 
+// Larger epochs cannot be exact in the number format of all JSON parsers; at one per second they are never reached.
+constexpr std::uint64_t maxEpoch = 1ULL << 53;
+
+bool exchangesLoad(DatagramType type)
+{
+    return type == DatagramType::LoadExchange || type == DatagramType::LoadAnswer;
+}
+
+// Throws json::exception or std::invalid_argument.
+LoadSample loadFromJson(const json &fields)
+{
+    const LoadSample sample{fields.at(0).get<std::uint64_t>(), fields.at(1).get<double>()};
+    if (sample.epoch > maxEpoch || !std::isfinite(sample.estimate) || sample.estimate < LoadAverage::minLoad
+        || sample.estimate > LoadAverage::maxLoad) {
+        throw std::invalid_argument(fmt::format("load sample out of range: epoch {}, estimate {}", sample.epoch, sample.estimate));
+    }
+    return sample;
+}
+
 // Throws json::exception or std::invalid_argument.
 PeerDatagram datagramFromJson(const json &fields)
 {
@@ -52,8 +72,8 @@
     }
     PeerDatagram datagram;
     const int type = fields.at(1).get<int>();
-    if (type < 0 || type > static_cast<int>(DatagramType::Update)) {
-        throw std::invalid_argument(fmt::format("datagram type is {}, expected 0 to {}", type, static_cast<int>(DatagramType::Update)));
+    if (type < 0 || type > static_cast<int>(DatagramType::LoadAnswer)) {
+        throw std::invalid_argument(fmt::format("datagram type is {}, expected 0 to {}", type, static_cast<int>(DatagramType::LoadAnswer)));
     }
     datagram.type = static_cast<DatagramType>(type);
     datagram.probeNumber = fields.at(2).get<std::uint64_t>();
@@ -66,6 +86,9 @@
     for (const json &crash : fields.at(7)) {
         datagram.crashes.push_back({Fingerprint{crash.at(0).get<std::uint64_t>()}, crash.at(1).get<std::uint64_t>()});
     }
+    if (exchangesLoad(datagram.type)) {
+        datagram.load = loadFromJson(fields.at(8));
+    }
     return datagram;
 }
 
@@ -91,15 +114,18 @@
     for (const CrashReport &crash : datagram.crashes) {
         crashes.push_back({static_cast<std::uint64_t>(crash.request), crash.targetInstance});
     }
-    const std::string body = json::array({formatVersion,
-                                          static_cast<int>(datagram.type),
-                                          datagram.probeNumber,
-                                          toJson(datagram.sender),
-                                          datagram.aliveCount,
-                                          datagram.revision,
-                                          std::move(members),
-                                          std::move(crashes)})
-                                 .dump(-1, ' ', false, json::error_handler_t::replace);
+    json fields = json::array({formatVersion,
+                               static_cast<int>(datagram.type),
+                               datagram.probeNumber,
+                               toJson(datagram.sender),
+                               datagram.aliveCount,
+                               datagram.revision,
+                               std::move(members),
+                               std::move(crashes)});
+    if (datagram.load) {
+        fields.push_back({datagram.load->epoch, datagram.load->estimate});
+    }
+    const std::string body = fields.dump(-1, ' ', false, json::error_handler_t::replace);
     return fmt::format("{} {}", hmacSha256(key_, body).substr(0, digestDigits), body);
 }
 
--- a/src/membership/PeerDatagram.h
+++ b/src/membership/PeerDatagram.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "control/QuarantineController.h"
+#include "membership/LoadAverage.h"
 #include "membership/Member.h"
 
 #include <cstdint>
@@ -25,20 +26,23 @@
 
 /// Purpose of a datagram. The values are part of the wire format.
 enum class DatagramType {
-    Probe,  ///< Requests an acknowledgement.
-    Ack,    ///< Acknowledges a probe, which proves that its sender is alive.
-    Update, ///< Carries updates only; no response is expected.
+    Probe,        ///< Requests an acknowledgement.
+    Ack,          ///< Acknowledges a probe, which proves that its sender is alive.
+    Update,       ///< Carries updates only; no response is expected.
+    LoadExchange, ///< Starts an exchange of load estimates.
+    LoadAnswer,   ///< Answers an exchange.
 };
 
 /// \brief One datagram; each type carries updates.
 struct PeerDatagram {
     DatagramType type = DatagramType::Update;
-    std::uint64_t probeNumber = 0; ///< Of a probe with a time-out, repeated in its acknowledgement; else 0.
+    std::uint64_t probeNumber = 0; ///< Of a probe with a time-out or an exchange, repeated in the response to it; else 0.
     Member sender;
     std::uint64_t aliveCount = 0; ///< Number of other hosts that the sender has as alive or suspect.
     std::int64_t revision = 0;    ///< Revision of the published state that the sender has read.
     std::vector<Member> members;
     std::vector<CrashReport> crashes;
+    std::optional<LoadSample> load; ///< Invariant: set if, and only if, the type is LoadExchange or LoadAnswer.
 };
 
 /// \brief Encodes and decodes datagrams: a keyed hash, a space, and JSON.
--- a/tests/unit/AdmissionTest.cpp
+++ b/tests/unit/AdmissionTest.cpp
@@ -57,6 +57,7 @@
 {
     ForwardFixture fixture;
     fixture.limits.extraSendSlack = 0;
+    fixture.limits.extraSendRatio = 0.1;
     FakeTarget &dark = fixture.addTarget("t1", {"s", "here", 6});
     fixture.addTarget("t2", {"s", "there"});
     fixture.publish({ForwardFixture::route("a", ServiceDestination{"s"})});
@@ -67,7 +68,7 @@
     }
     fixture.run(milliseconds(200));
     dark.behaviour = Behaviour::Silent;
-    // First attempts go to the dark target; the budget holds one extra send.
+    // First attempts go to the dark target; the requests of the last ten seconds allow three extra sends.
     std::vector<std::shared_ptr<CallerResponse>> responses;
     responses.reserve(4);
     for (int request = 0; request < 4; ++request) {
