Retry a refused attempt up to five times, within the budget

Cause: four in five replicas that shed 60% of their requests left a gather of 90 shards with three refusals on more shards than it may miss ("too few shards answered"), although a refused attempt did not run and refusals are answered at once.

--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -14,7 +14,7 @@
 // free of work that nobody waits for within half a second.
 constexpr Duration detachedRunTime = std::chrono::milliseconds(400);
 // Refusals after which a request is still retried; they do not count as targets at which it may run.
-constexpr unsigned maxRefusals = 2;
+constexpr unsigned maxRefusals = 5;
 // A queued attempt that must not run twice is moved to another target if it has no connection after this time.
 constexpr Duration maxUnsentTime = std::chrono::milliseconds(150);
 // While the budget of extra sends is used up, a hedge is tried again at this interval, as the target may be dead.
--- /dev/null
+++ b/tests/unit/GatherLoadTest.cpp
@@ -0,0 +1,69 @@
+/*
+ * Unit tests: requests over many shards while a part of the replicas sheds, is slow or pauses.
+ */
+#include "ForwardFixture.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace magnoliaspan;
+using namespace magnoliaspan::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr unsigned shardCount = 60;
+constexpr double minimumCoverage = 0.95;
+constexpr Duration goal = milliseconds(250);
+
+struct Outcome {
+    unsigned inTime = 0;
+    unsigned extraArrivals = 0; ///< Beyond one of each shard and request.
+};
+
+// Sends \p requests, each \p interval after the one before.
+Outcome sendGathers(ForwardFixture &fixture, unsigned requests, Duration interval)
+{
+    const unsigned before = fixture.arrivals();
+    std::vector<std::shared_ptr<CallerResponse>> responses;
+    responses.reserve(requests);
+    for (unsigned request = 0; request < requests; ++request) {
+        responses.push_back(fixture.call("g"));
+        fixture.run(interval);
+    }
+    fixture.run(seconds(3));
+    Outcome outcome;
+    for (const auto &response : responses) {
+        outcome.inTime += response->status == 200 && response->took <= goal ? 1 : 0;
+    }
+    outcome.extraArrivals = fixture.arrivals() - before - requests * shardCount;
+    return outcome;
+}
+
+void publishGather(ForwardFixture &fixture)
+{
+    fixture.limits.extraSendSlack = 100;
+    Route route = ForwardFixture::route("g", ShardedDestination{fixture.addShards("s", shardCount, 3), 5, minimumCoverage});
+    route.latencyGoal = goal;
+    fixture.publish({route});
+}
+
+} // namespace
+
+TEST_CASE("gather: pattern shedding replicas, four in five shed 60 % of their requests, nine in ten gathers are answered in time")
+{
+    ForwardFixture fixture;
+    publishGather(fixture);
+    sendGathers(fixture, 6, milliseconds(300));
+    std::mt19937_64 random(GENERATE(11, 12, 13));
+    unsigned number = 0;
+    for (const auto &[id, target] : fixture.targets) {
+        if (++number % 5 != 0) {
+            target->behaviourFor = [&random](unsigned) { return random() % 10 < 6 ? Behaviour::Shed : Behaviour::Answer; };
+        }
+    }
+    const Outcome outcome = sendGathers(fixture, 30, milliseconds(300));
+    CHECK(outcome.inTime >= 27);
+    CHECK(outcome.extraArrivals > 0);
+}
