Wait a moment before the first watch after a start

Ruled out: the full read, which is cheap (a tenth of a call) and gives a restarted host what it needs to serve. Change: the first watch comes 400 ms after the first full read, by when a host knows some of its zone.

--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -22,6 +22,8 @@
 // Entries that lapsed while the source was unavailable are published again within two seconds of its return if their targets
 // are alive.
 constexpr Duration lapseGracePeriod = std::chrono::milliseconds(2'300);
+// A host that has just started learns in this time of hosts that it can read from instead of calling the source.
+constexpr Duration firstWatchDelay = std::chrono::milliseconds(400);
 // Without a burst, a host reaches a new revision within the delay between calls plus a slow response.
 constexpr Duration catchUpTimeout = std::chrono::seconds(2);
 
@@ -121,8 +123,12 @@
     registry_.apply(result, true, isInLapseGracePeriod());
     revision_ = result.revision;
     needsFullRead_ = false;
+    if (hasRead_) {
+        startNextCall();
+        return;
+    }
     hasRead_ = true;
-    startNextCall();
+    scheduleNextCall(firstWatchDelay);
 }
 
 void DiscoveryController::startWatch()
--- a/tests/unit/RelayTest.cpp
+++ b/tests/unit/RelayTest.cpp
@@ -281,6 +281,28 @@
     }
 }
 
+TEST_CASE("relay: pattern rolling restart, hosts that start in a zone with readers call the source once, for the full read")
+{
+    RelayFixture fixture;
+    for (unsigned number = 6; number < 40; ++number) {
+        fixture.hosts.push_back(std::make_unique<RelayHost>(fixture.time, fixture.datagrams, fixture.network, fixture.publisher, number));
+    }
+    fixture.run(seconds(20));
+    unsigned calls = 0;
+    constexpr unsigned restarted = 10;
+    for (unsigned number = 40; number < 40 + restarted; ++number) {
+        fixture.hosts.push_back(std::make_unique<RelayHost>(fixture.time, fixture.datagrams, fixture.network, fixture.publisher, number));
+        fixture.run(seconds(3));
+        CHECK(fixture.hosts.back()->hasTarget("t1"));
+        calls += fixture.hosts.back()->direct.calls;
+    }
+    // One host in ten may have become a reader, which makes a call or two more.
+    CHECK(calls <= restarted + 3);
+    fixture.publisher.put("t2");
+    fixture.run(seconds(2));
+    CHECK(fixture.allHaveTarget("t2"));
+}
+
 TEST_CASE("relay: a follower whose reader hangs reads from the source within three seconds, the shortest limit on configuration delay")
 {
     RelayFixture fixture;
