--- a/tests/unit/LoadAverageTest.cpp
+++ b/tests/unit/LoadAverageTest.cpp
@@ -2,6 +2,8 @@
  * Unit tests of the mean load of all hosts: convergence, partitions, lost datagrams, and samples of other hosts that are wrong.
  */
 #include "FakeDatagrams.h"
+#include "Fuzzing.h"
+#include "core/Hmac.h"
 #include "membership/GossipController.h"
 
 #include <catch2/catch.hpp>
@@ -209,3 +211,29 @@
     datagram.load.reset();
     CHECK_FALSE(codec.decode(codec.encode(datagram), reason));
 }
+
+TEST_CASE("load average: mutated exchanges with a valid hash are refused or decoded within their ranges", "[fuzz]")
+{
+    const PeerDatagramCodec codec("key");
+    PeerDatagram datagram;
+    datagram.type = DatagramType::LoadAnswer;
+    datagram.sender = {"h1", "z1", LoadedHosts::addressOf(1), 1'000, HostState::Alive};
+    datagram.load = LoadSample{7, 3.5};
+    unsigned readable = 0;
+    fuzz(codec.encode(datagram).substr(33), 22, [&](const std::string &changed) {
+        std::string reason;
+        const auto read = codec.decode(hmacSha256("key", changed).substr(0, 32) + " " + changed, reason);
+        REQUIRE(read.has_value() == reason.empty());
+        if (!read) {
+            return;
+        }
+        ++readable;
+        const bool exchangesLoad = read->type == DatagramType::LoadExchange || read->type == DatagramType::LoadAnswer;
+        REQUIRE(read->load.has_value() == exchangesLoad);
+        if (read->load) {
+            REQUIRE(read->load->estimate >= LoadAverage::minLoad);
+            REQUIRE(read->load->estimate <= LoadAverage::maxLoad);
+        }
+    });
+    CHECK(readable > 0);
+}
