--- a/src/forward/ForwardOperation.cpp
+++ b/src/forward/ForwardOperation.cpp
@@ -20,8 +20,6 @@
 // A target that is not registered yet does so within about this time of its start.
 constexpr Duration unlistedRetryAfter = std::chrono::seconds(1);
 constexpr Duration minRetryAfter = std::chrono::milliseconds(50);
-// The caller's retry reaches another host, which may have budget left.
-constexpr Duration budgetRetryAfter = std::chrono::milliseconds(100);
 
 // Callers take these statuses for a guarantee that the request has not run and never will.
 bool impliesNotRun(unsigned status)
@@ -131,38 +129,7 @@
         deliver(refusalReply(statusUnavailable, cause, std::max(minRetryAfter, *minLateness)), cause);
         return false;
     }
-    return shards_ == nullptr || admitByRefusals();
-}
-
-bool ForwardOperation::admitByRefusals()
-{
-    const double share = replicas_.refusals(context_->route->name).current(startedAt_);
-    std::vector<unsigned> retries;
-    retries.reserve(calls_.size());
-    for (const ServiceCall &call : calls_) {
-        retries.push_back(std::min(ShardCall::maxRefusals, replicas_.extraSendsLeft(call.shardCall->service())));
-    }
-    const double missing = expectedMissingShards(share, retries);
-    if (!isCoverageUnlikely(missing, (1 - shards_->minimumCoverage) * static_cast<double>(calls_.size()))) {
-        return true;
-    }
-    const std::string cause = fmt::format(
-        "targets refuse {:.0f} % of attempts, and the retries left would miss {:.0f} of {} shards", 100 * share, missing, calls_.size());
-    deliver(refusalReply(statusUnavailable, cause, budgetRetryAfter), cause);
-    return false;
-}
-
-void ForwardOperation::recordRefusals()
-{
-    unsigned refused = 0;
-    unsigned attempts = 0;
-    for (const ServiceCall &call : calls_) {
-        refused += call.shardCall->notRunCount();
-        attempts += call.shardCall->attemptCount();
-    }
-    if (attempts > 0) {
-        replicas_.refusals(context_->route->name).add(std::min(refused, attempts), attempts, environment_.clock.now());
-    }
+    return true;
 }
 
 void ForwardOperation::onCallEnded(std::size_t index, CallResult result)
@@ -344,7 +311,6 @@
             ms(context_->deadline - now)));
     environment_.counters.observe(
         fmt::format("magnoliaspan_request_seconds{{route=\"{}\",status=\"{}\"}}", context_->route->name, reply.status), now - startedAt_);
-    recordRefusals();
     for (ServiceCall &call : calls_) {
         call.shardCall->cancel(false);
     }
--- a/src/forward/ForwardOperation.h
+++ b/src/forward/ForwardOperation.h
@@ -65,8 +65,6 @@
     };
 
     bool admit();
-    bool admitByRefusals();
-    void recordRefusals();
     void onCallEnded(std::size_t index, CallResult result);
     void finishSingle();
     void advanceGather();
--- a/src/forward/ReplicaController.cpp
+++ b/src/forward/ReplicaController.cpp
@@ -340,19 +340,6 @@
     return trafficOf(service).extraSends.tryAcquire(extraSendLimits(), environment_.clock.now());
 }
 
-unsigned ReplicaController::extraSendsLeft(std::string_view service) const
-{
-    const auto found = traffic_.find(service);
-    const double left
-        = (found == traffic_.end() ? ExtraSendBudget() : found->second.extraSends).remaining(extraSendLimits(), environment_.clock.now());
-    return static_cast<unsigned>(std::max(0.0, left));
-}
-
-RefusalShare &ReplicaController::refusals(std::string_view workKind)
-{
-    return refusals_[std::string(workKind)];
-}
-
 LatencyBaseline ReplicaController::baselineFor(std::string_view service, std::string_view workKind, bool otherRegion) const
 {
     const auto found = traffic_.find(service);
--- a/src/forward/ReplicaController.h
+++ b/src/forward/ReplicaController.h
@@ -6,7 +6,6 @@
 #include "discovery/Registry.h"
 #include "forward/ExtraSendBudget.h"
 #include "forward/ForwardLimits.h"
-#include "forward/RefusalForecast.h"
 #include "forward/Replica.h"
 
 #include <array>
@@ -97,12 +96,6 @@
     /// \returns false if the service's budget is used up.
     bool tryAcquireExtraSend(std::string_view service);
 
-    /// \returns attempts beyond the first that the service's budget allows now.
-    unsigned extraSendsLeft(std::string_view service) const;
-
-    /// \returns the share of attempts that targets refused recently.
-    RefusalShare &refusals(std::string_view workKind);
-
     /// \returns baselineLatency() with the half-life that suits the rate of requests to \p service.
     LatencyBaseline baselineFor(std::string_view service, std::string_view workKind, bool otherRegion) const;
 
@@ -142,7 +135,6 @@
     std::map<std::string, TimePoint, std::less<>> drainingSince_;         // When this host learned of it, by target id.
     std::vector<std::shared_ptr<Replica>> retired_;                       // Kept until their attempts have ended.
     std::map<std::string, ServiceTraffic, std::less<>> traffic_;
-    std::map<std::string, RefusalShare, std::less<>> refusals_;                    // By kind of work.
     std::array<LatencyEstimate, 2> connectTimes_;                                  // This region's and others'.
     std::array<std::map<std::string, LatencyEstimate, std::less<>>, 2> baselines_; // This region's and others', by kind of work.
 };
--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -13,6 +13,8 @@
 // An attempt whose response is no longer needed runs on for this long, so that its connection can be kept; targets must be
 // free of work that nobody waits for within half a second.
 constexpr Duration detachedRunTime = std::chrono::milliseconds(400);
+// Refusals after which a request is still retried; they do not count as targets at which it may run.
+constexpr unsigned maxRefusals = 5;
 // A queued attempt that must not run twice is moved to another target if it has no connection after this time.
 constexpr Duration maxUnsentTime = std::chrono::milliseconds(150);
 // While the budget of extra sends is used up, a hedge is tried again at this interval, as the target may be dead.
@@ -75,11 +77,6 @@
     return attemptCount_;
 }
 
-unsigned ShardCall::notRunCount() const
-{
-    return notRun_;
-}
-
 const std::string &ShardCall::service() const
 {
     return service_;
@@ -253,7 +250,6 @@
         connectionRejected_ = connectionRejected_ || result.outcome == AttemptOutcome::ConnectionRejected;
         ++refusals_;
         if (result.outcome == AttemptOutcome::NotRun) {
-            ++notRun_;
             shedding_.push_back(attempt.replica->entry().id);
         }
     }
--- a/src/forward/ShardCall.h
+++ b/src/forward/ShardCall.h
@@ -57,15 +57,9 @@
     /// \returns whether a byte of the request was sent to a target.
     bool hasSentBytes() const;
 
-    /// Refusals after which a call still retries; they do not count as targets at which the request may run.
-    static constexpr unsigned maxRefusals = 5;
-
-    /// \returns the number of attempts.
+    /// \returns the number of attempts, for the log.
     unsigned attemptCount() const;
 
-    /// \returns the number of attempts that the target stated not to have run.
-    unsigned notRunCount() const;
-
     const std::string &service() const;
 
 private:
@@ -107,7 +101,6 @@
     std::vector<std::string> shedding_; // Those of excluded_ that may be selected again after a delay.
     unsigned possibleRuns_ = 0;         // Ended attempts after which the request ran or may have run.
     unsigned refusals_ = 0;             // Attempts that the target refused: shed, address of another target, or new connection reset.
-    unsigned notRun_ = 0;               // Those of refusals_ that the target stated not to have run.
     bool connectionRejected_ = false;   // Whether a new connection was reset under it.
     unsigned sentAttempts_ = 0;         // Attempts of which a byte has left this host.
     unsigned attemptCount_ = 0;
