Log responses of the store that may hold a part of the changes

The logs could not tell a slow store from a host that reads many changes part by part: both show as versions in force late.

--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -156,6 +156,14 @@
     }
     recordSourceState(result);
     registry_.apply(result, false, isInLapseGracePeriod());
+    if (result.mayHaveMore) {
+        journal_.record(LogCategory::Config,
+                        "",
+                        fmt::format("response may hold a part of the changes after={} revision={} changes={}",
+                                    revision_,
+                                    result.revision,
+                                    result.changes.size()));
+    }
     revision_ = std::max(revision_, result.revision);
     if (result.fromFallbackPeer) {
         scheduleNextCall(nextBackoff());
--- a/src/discovery/DiscoverySource.h
+++ b/src/discovery/DiscoverySource.h
@@ -62,6 +62,7 @@
     bool fromFallbackPeer = false;          ///< Read from another host because this one cannot reach the source.
     bool sourceRecentlyUnavailable = false; ///< Missing entries may only have lapsed while the source was unavailable.
     Duration age{};                         ///< Time since this state was last confirmed to be the published one.
+    bool mayHaveMore = false;               ///< More changes may wait already: the source limits the size of a response.
 };
 
 /// Required freshness of a full read.
