Call again at once after a response that may hold a part of the changes

Callers of routes that had been added seconds before were refused with 404 by hosts that had been cut off from the store (CONFIG: refused with 404 as an older version says). Cause: the store ends the response to a watch soon after 1 MB and does not say so; the host took each such part for a whole burst and waited up to 0.9 s before the next call. With versions of 383 KB it read four of them each 1.3 s, while the operator wrote 1.4 a second: a backlog of 20 versions took 7 s beside the 5 s after which the limits hold again. The class of fault is a bounded reader of a stream that takes the end of a part for the end of the stream and paces itself there. The wait batches small changes; a response near the size limit needs no batching, and without it the rate is bounded by the store and the host's processor alone. Responses that make no progress are still followed by the wait.

Ruled out: lost answers of the store (reads are not among them), short cuts from the store, a lost history, kills after an acknowledgement, a version that cannot be decoded.

Test: discovery: pattern large versions after an outage; red before (version 25 in force where 31 is owed), green now.

--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace magnoliaspan {
 
@@ -156,15 +157,17 @@
     }
     recordSourceState(result);
     registry_.apply(result, false, isInLapseGracePeriod());
-    if (result.mayHaveMore) {
-        journal_.record(LogCategory::Config,
-                        "",
-                        fmt::format("response may hold a part of the changes after={} revision={} changes={}",
-                                    revision_,
-                                    result.revision,
-                                    result.changes.size()));
+    const std::int64_t before = std::exchange(revision_, std::max(revision_, result.revision));
+    if (result.mayHaveMore && revision_ > before) {
+        // Waiting here would limit the rate at which a host catches up, possibly below the rate of new changes.
+        journal_.record(
+            LogCategory::Config,
+            "",
+            fmt::format(
+                "response may hold a part of the changes after={} revision={} changes={}", before, revision_, result.changes.size()));
+        startNextCall();
+        return;
     }
-    revision_ = std::max(revision_, result.revision);
     if (result.fromFallbackPeer) {
         scheduleNextCall(nextBackoff());
         return;
--- /dev/null
+++ b/tests/unit/DiscoveryTest.cpp
@@ -0,0 +1,193 @@
+/*
+ * Unit tests of a host that follows the platform's store through DiscoveryController, on the manual clock.
+ */
+#include "discovery/DiscoveryController.h"
+#include "platform/StoreSource.h"
+#include "scenario/FakeNetwork.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <openssl/evp.h>
+
+using namespace magnoliaspan;
+using namespace magnoliaspan::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+std::string toBase64(std::string_view bytes)
+{
+    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),        // NOLINT: the library's byte type
+                                       reinterpret_cast<const unsigned char *>(bytes.data()), // NOLINT: the library's byte type
+                                       static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+/// A store that holds one key, the configuration. It ends the response to a watch once that holds a megabyte of values.
+class ConfigurationStore : public Service
+{
+public:
+    explicit ConfigurationStore(ManualTime &time)
+        : time_(time)
+    {
+    }
+
+    CancelFunction handle(ServiceRequest request, ReplyHandler handler) override
+    {
+        ++calls;
+        if (!available) {
+            handler({503, "application/json", "{}"});
+            return {};
+        }
+        if (request.target.starts_with("/api/kv-range")) {
+            handler({200, "application/json", R"({"items":[],"truncated":false,"store_revision":1})"});
+            return {};
+        }
+        constexpr std::string_view after = "after=";
+        const std::int64_t revision = std::stoll(request.target.substr(request.target.find(after) + after.size()));
+        if (revision < lastRevision()) {
+            handler(changesSince(revision));
+            return {};
+        }
+        waiting_ = {revision, std::move(handler)};
+        return [this] { waiting_.second = nullptr; };
+    }
+
+    /// Publishes a version with \p routeCount routes and notes the time.
+    void publish(unsigned routeCount)
+    {
+        const std::size_t version = published_.size() + 1;
+        std::string routes;
+        for (unsigned route = 0; route < routeCount; ++route) {
+            routes += fmt::format(R"({}{{"name":"r{}","host":"a.example","prefix":"/p{}/","type":"idempotent","timeout_ms":1500,)"
+                                  R"("latency_goal_ms":100,"priority":2,"service":"s","max_attempts":2,"allowed_regions":[]}})",
+                                  route == 0 ? "" : ",",
+                                  route,
+                                  route);
+        }
+        const std::string value = fmt::format(R"({{"version":{},"routes":[{}],"services":[]}})", version, routes);
+        published_.push_back({time_.now(), toBase64(value)});
+        if (waiting_.second && available) {
+            const auto handler = std::move(waiting_.second);
+            waiting_.second = nullptr;
+            handler(changesSince(waiting_.first));
+        }
+    }
+
+    /// \returns the newest version published at \p instant or before, zero if there is none.
+    std::int64_t versionAt(TimePoint instant) const
+    {
+        return std::count_if(published_.begin(), published_.end(), [instant](const Version &version) { return version.at <= instant; });
+    }
+
+    bool available = true;
+    unsigned calls = 0;
+
+private:
+    struct Version {
+        TimePoint at;
+        std::string value;
+    };
+
+    static constexpr std::size_t maxResponseBytes = 1'048'576;
+
+    /// The empty store has revision 1; each version raises it by one.
+    std::int64_t lastRevision() const
+    {
+        return 1 + static_cast<std::int64_t>(published_.size());
+    }
+
+    ServiceReply changesSince(std::int64_t revision) const
+    {
+        std::string events;
+        while (revision < lastRevision() && events.size() < maxResponseBytes) {
+            const std::string &value = published_.at(static_cast<std::size_t>(revision) - 1).value;
+            ++revision;
+            events += fmt::format(R"({}{{"key":"op/config","value":"{}","rev":{}}})", events.empty() ? "" : ",", value, revision);
+        }
+        return {200, "application/json", fmt::format(R"({{"events":[{}],"store_revision":{}}})", events, revision)};
+    }
+
+    ManualTime &time_;
+    std::vector<Version> published_;
+    std::pair<std::int64_t, ReplyHandler> waiting_; // The call that waits for changes after a revision.
+};
+
+struct DiscoveryFixture {
+    DiscoveryFixture()
+    {
+        Node node;
+        node.name = "store";
+        node.service = &store;
+        node.time = &process;
+        network.place("10.0.0.1:1", node);
+        controller.start();
+    }
+
+    ~DiscoveryFixture()
+    {
+        source.cancel();
+    }
+
+    DiscoveryFixture(const DiscoveryFixture &) = delete;
+    DiscoveryFixture &operator=(const DiscoveryFixture &) = delete;
+
+    void run(Duration duration)
+    {
+        time.runUntil(time.now() + duration);
+    }
+
+    std::int64_t versionInForce() const
+    {
+        return registry.table() ? registry.table()->version() : 0;
+    }
+
+    ManualTime time;
+    ProcessTime process{time, {}};
+    FakeNetwork network{time};
+    FakeTransport transport{network, process, "host", "z"};
+    ConfigurationStore store{time};
+    std::vector<std::string> log;
+    Journal journal{process, [this](std::string_view line) { log.emplace_back(line); }, 100};
+    Registry registry{journal};
+    platform::StoreSource source{process, process, transport, {"10.0.0.1", 1}};
+    DiscoveryController controller{process, process, journal, source, registry, seconds(5), 1};
+};
+
+// The shortest limits among the users' sites: on the time until a confirmed version is in force, and on the time after the
+// store's return from which on that holds again.
+constexpr Duration configurationDelayLimit = std::chrono::seconds(3);
+constexpr Duration recoveryLimit = std::chrono::seconds(5);
+constexpr Duration publishInterval = std::chrono::milliseconds(700);
+// A version of this many routes has about 200 KB, so that five of them fill a response.
+constexpr unsigned manyRoutes = 1'400;
+
+} // namespace
+
+// Guards against a host that takes the first part of the pending changes for all of them and falls behind the operator.
+TEST_CASE("discovery: pattern large versions after an outage, a confirmed version is in force within the configuration delay")
+{
+    DiscoveryFixture fixture;
+    fixture.store.publish(1);
+    fixture.run(seconds(3));
+    REQUIRE(fixture.versionInForce() == 1);
+    fixture.store.available = false;
+    constexpr int versionsDuringOutage = 26;
+    for (int version = 0; version < versionsDuringOutage; ++version) {
+        fixture.store.publish(manyRoutes);
+        fixture.run(publishInterval);
+    }
+    fixture.store.available = true;
+    const TimePoint returned = fixture.time.now();
+    while (fixture.time.now() < returned + seconds(12)) {
+        fixture.store.publish(manyRoutes);
+        fixture.run(publishInterval);
+        if (fixture.time.now() < returned + recoveryLimit) {
+            continue;
+        }
+        CHECK(fixture.versionInForce() >= fixture.store.versionAt(fixture.time.now() - configurationDelayLimit));
+    }
+}
