Decode only the last of several events for a key

A host that reads a backlog of versions decoded each of them, though each holds the whole configuration. On 0.25 cores that took most of the time between two responses, and callers of that host waited meanwhile. Every event carries the whole item, so the last one of a response is enough; the same holds for targets, whose new starts are told apart by the time of their start. Test: platform: of several events for a key in one response only the last is decoded (red without the change).

--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -175,6 +175,31 @@
     CHECK(fixture.store.paths[1].find("after=servers/i-1") != std::string::npos);
 }
 
+// Guards against the cost of decoding each of many large versions, which held up callers while a host caught up.
+TEST_CASE("platform: of several events for a key in one response only the last is decoded")
+{
+    StoreFixture fixture;
+    std::string newer(configuration);
+    newer.replace(newer.find("\"version\":7"), 11, "\"version\":9");
+    fixture.store.answers
+        = {fmt::format(R"({{"events":[{{"key":"op/config","value":"{}","rev":3}},{{"key":"servers/i-1","value":"{}","rev":4}},)"
+                       R"({{"key":"op/config","value":"{}","rev":5}},{{"key":"servers/i-1","rev":6,"tombstone":true}},7],)"
+                       R"("store_revision":6}})",
+                       toBase64(configuration),
+                       toBase64(target),
+                       toBase64(newer))};
+    DiscoveryReadResult result;
+    fixture.source.watch(2, std::chrono::seconds(1), [&result](const DiscoveryReadResult &readResult) { result = readResult; });
+    fixture.time.runUntil(fixture.time.now() + std::chrono::seconds(1));
+    CHECK_FALSE(result.error);
+    CHECK(result.revision == 6);
+    CHECK(result.items.size() == 2);
+    REQUIRE(result.changes.size() == 3);
+    CHECK(std::get<TablePublished>(result.changes[0]).table->version() == 9);
+    CHECK(std::get<TargetRemoved>(result.changes[1]).id == "i-1");
+    CHECK(std::holds_alternative<DecodeFailure>(result.changes[2]));
+}
+
 TEST_CASE("platform: malformed responses are errors, and status 410 is a lost history")
 {
     StoreFixture fixture;
