Leave a silent path to the store for other hosts, and notice its return early

Hosts whose calls to the store got no response kept an old configuration while others had the new one, and said in their log that they were reading by another path. Causes: the other path of a host that reads from the store itself was the store again, and cancelling its call kept the failure from being counted, so that it never asked another host while changes went on; after a first failed call it ignored what others had; and each call of an outage waited as long as a watch, 6.5 s, so that one that began just before the store's return hung beyond the five seconds after which the limits hold again. Class of fault: a recovery step that repeats what failed.

Now a call given up because others are ahead counts as a failure and the next goes to another host; after a failure calls to the store only ask for what is there, 1.5 s at most; one that times out is followed by a call to another host at once.

--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -75,7 +75,7 @@
 
 void DiscoveryController::rereadIfBehind(std::int64_t revision)
 {
-    if (revision <= revision_ || failures_ > 0) {
+    if (revision <= revision_) {
         return;
     }
     journal_.record(LogCategory::Config,
--- a/src/relay/RelaySource.cpp
+++ b/src/relay/RelaySource.cpp
@@ -57,7 +57,13 @@
 
 void RelaySource::avoidCurrentPath()
 {
-    directUntil_ = environment_.clock.now() + avoidanceTime;
+    pathAvoided_ = true;
+    if (path_ == Path::Reader) {
+        directUntil_ = environment_.clock.now() + avoidanceTime;
+    } else if (path_ == Path::Source) {
+        // The call is cancelled before its time-out, so that it is counted here.
+        ++directFailures_;
+    }
 }
 
 bool RelaySource::isSourceRecentlyUnavailable() const
@@ -70,6 +76,12 @@
     return directFailures_ >= failuresUntilUnreachable;
 }
 
+// Own calls and calls to other hosts alternate while the source is unreachable, so that its return is noticed.
+bool RelaySource::mustAskAnyPeer() const
+{
+    return path_ != Path::AnyPeer && (isSourceUnreachable() || (pathAvoided_ && path_ == Path::Source));
+}
+
 bool RelaySource::isUsable(const Member &member) const
 {
     const auto found = avoidedUntil_.find(member.name);
@@ -127,8 +139,8 @@
 
 void RelaySource::readAll(Freshness freshness, Handler handler)
 {
-    if (isSourceUnreachable() && !calledAnyPeer_) {
-        callAnyPeer(std::nullopt, handler);
+    if (const auto peer = mustAskAnyPeer() ? chooseAnyPeer() : std::nullopt) {
+        callAnyPeer(*peer, std::nullopt, handler);
         return;
     }
     readDirectly(std::nullopt, Duration::zero(), freshness, handler);
@@ -136,8 +148,8 @@
 
 void RelaySource::watch(std::int64_t revision, Duration wait, Handler handler)
 {
-    if (isSourceUnreachable() && !calledAnyPeer_) {
-        callAnyPeer(revision, handler);
+    if (const auto peer = mustAskAnyPeer() ? chooseAnyPeer() : std::nullopt) {
+        callAnyPeer(*peer, revision, handler);
         return;
     }
     const auto peer = isSourceUnreachable() ? std::nullopt : chooseReader();
@@ -145,6 +157,8 @@
         readDirectly(revision, wait, Freshness::Latest, handler);
         return;
     }
+    path_ = Path::Reader;
+    pathAvoided_ = false;
     callPeer(*peer, {revision, relayWatchTime}, [this, peer, revision, wait, handler](std::optional<DiscoveryReadResult> result) {
         if (!result || result->age > watchTime_ + ageSlack || result->revision < revision) {
             avoidPeer(*peer, result ? "state too old" : "no valid response");
@@ -155,17 +169,13 @@
     });
 }
 
-void RelaySource::callAnyPeer(const std::optional<std::int64_t> &after, const Handler &handler)
+void RelaySource::callAnyPeer(const Peer &peer, const std::optional<std::int64_t> &after, const Handler &handler)
 {
-    calledAnyPeer_ = true;
-    const auto peer = chooseAnyPeer();
-    if (!peer) {
-        readDirectly(after, watchTime_, Freshness::Latest, handler);
-        return;
-    }
-    callPeer(*peer, {after, Duration::zero()}, [this, peer, after, handler](std::optional<DiscoveryReadResult> result) {
+    path_ = Path::AnyPeer;
+    pathAvoided_ = false;
+    callPeer(peer, {after, Duration::zero()}, [this, peer, after, handler](std::optional<DiscoveryReadResult> result) {
         if (!result || (after && result->revision < *after)) {
-            avoidPeer(*peer, result ? "state too old" : "no valid response");
+            avoidPeer(peer, result ? "state too old" : "no valid response");
             DiscoveryReadResult failure;
             failure.error = TransportError::MalformedReply;
             handler(failure);
@@ -195,17 +205,19 @@
 
 void RelaySource::readDirectly(const std::optional<std::int64_t> &after, Duration wait, Freshness freshness, const Handler &handler)
 {
-    calledAnyPeer_ = false;
+    path_ = Path::Source;
+    pathAvoided_ = false;
     const bool complete = !after;
-    const auto onResult = [this, complete, handler](const DiscoveryReadResult &result) { onDirectResult(result, complete, handler); };
+    const auto onResult = [this, after, handler](const DiscoveryReadResult &result) { onDirectResult(result, after, handler); };
     if (complete) {
         environment_.direct.readAll(freshness, onResult);
     } else {
-        environment_.direct.watch(*after, wait, onResult);
+        // After a failure the call only asks for what is there, so that it fails early if the source is still silent.
+        environment_.direct.watch(*after, directFailures_ > 0 ? Duration::zero() : wait, onResult);
     }
 }
 
-void RelaySource::onDirectResult(const DiscoveryReadResult &result, bool complete, const Handler &handler)
+void RelaySource::onDirectResult(const DiscoveryReadResult &result, const std::optional<std::int64_t> &after, const Handler &handler)
 {
     if (result.error) {
         ++directFailures_;
@@ -213,7 +225,14 @@
     } else {
         directFailures_ = 0;
     }
-    deliver(result, complete, handler);
+    if (result.error == TransportError::Silent && isSourceUnreachable()) {
+        // The time-out has taken the time that would pass before the next call.
+        if (const auto peer = chooseAnyPeer()) {
+            callAnyPeer(*peer, after, handler);
+            return;
+        }
+    }
+    deliver(result, !after, handler);
 }
 
 void RelaySource::deliver(const DiscoveryReadResult &result, bool complete, const Handler &handler)
--- a/src/relay/RelaySource.h
+++ b/src/relay/RelaySource.h
@@ -57,20 +57,28 @@
     bool isSourceRecentlyUnavailable() const;
 
 private:
+    /// Where the running or last call reads from.
+    enum class Path {
+        Source,  ///< The source itself.
+        Reader,  ///< A reader of this zone.
+        AnyPeer, ///< Any other host, since this one cannot reach the source.
+    };
+
     struct Peer {
         std::string name;
         Endpoint address;
     };
 
     bool isSourceUnreachable() const;
+    bool mustAskAnyPeer() const;
     std::optional<Peer> chooseReader();
     std::optional<Peer> chooseAnyPeer();
     bool isUsable(const Member &member) const;
     void readDirectly(const std::optional<std::int64_t> &after, Duration wait, Freshness freshness, const Handler &handler);
-    void onDirectResult(const DiscoveryReadResult &result, bool complete, const Handler &handler);
+    void onDirectResult(const DiscoveryReadResult &result, const std::optional<std::int64_t> &after, const Handler &handler);
     void callPeer(const Peer &peer, const RelayRequest &request, std::function<void(std::optional<DiscoveryReadResult>)> handler);
     void deliver(const DiscoveryReadResult &result, bool complete, const Handler &handler);
-    void callAnyPeer(const std::optional<std::int64_t> &after, const Handler &handler);
+    void callAnyPeer(const Peer &peer, const std::optional<std::int64_t> &after, const Handler &handler);
     void avoidPeer(const Peer &peer, std::string_view reason);
 
     RelayEnvironment environment_;
@@ -81,7 +89,8 @@
     std::map<std::string, TimePoint> avoidedUntil_; // Hosts not to read from, by name.
     TimePoint directUntil_{};                       // No reader is used before this time.
     unsigned directFailures_ = 0;                   // Consecutive failures of own calls to the source.
-    bool calledAnyPeer_ = false;                    // Whether the last call was callAnyPeer(); own calls alternate with it.
+    Path path_ = Path::Source;
+    bool pathAvoided_ = false; // Whether the last call was given up because other hosts have a higher revision.
     std::optional<TimePoint> lastUnavailableAt_;
 };
 
--- a/tests/unit/RelayTest.cpp
+++ b/tests/unit/RelayTest.cpp
@@ -6,6 +6,7 @@
 #include "discovery/DiscoveryController.h"
 #include "relay/RelayService.h"
 #include "relay/RelaySource.h"
+#include "transport/TransportError.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -79,6 +80,10 @@
     void readAll(Freshness, Handler handler) override
     {
         ++calls;
+        if (silent) {
+            callLater(responseTimeout, [handler] { handler(failure(TransportError::Silent)); });
+            return;
+        }
         callLater(milliseconds(5), [this, handler] { handler(failing ? failure() : publisher_.since(0)); });
     }
 
@@ -86,6 +91,10 @@
     {
         ++calls;
         changesSuppressed_ = false;
+        if (silent) {
+            callLater(wait + responseTimeout, [handler] { handler(failure(TransportError::Silent)); });
+            return;
+        }
         poll(revision, time_.now() + wait, handler);
     }
 
@@ -101,13 +110,16 @@
     }
 
     bool failing = false; ///< Whether calls fail.
+    bool silent = false;  ///< Whether new calls get no response, until they time out.
     unsigned calls = 0;
 
 private:
-    static DiscoveryReadResult failure()
+    static constexpr Duration responseTimeout = std::chrono::milliseconds(1'500);
+
+    static DiscoveryReadResult failure(std::error_code error = std::make_error_code(std::errc::connection_refused))
     {
         DiscoveryReadResult result;
-        result.error = std::make_error_code(std::errc::timed_out);
+        result.error = error;
         return result;
     }
 
@@ -331,6 +343,48 @@
     CHECK(fixture.allHaveTarget("t2"));
 }
 
+// Guards against a host that knows from others that it is behind but reads by the same silent path again.
+TEST_CASE("relay: a host whose own calls to the source get no response has each change within six seconds, from other hosts")
+{
+    RelayFixture fixture;
+    RelayHost &isolated = *fixture.readers.front();
+    isolated.direct.suppressChanges();
+    isolated.direct.silent = true;
+    std::vector<TimePoint> published;
+    for (int change = 0; change < 24; ++change) {
+        fixture.publisher.put(fmt::format("c{}", change));
+        published.push_back(fixture.time.now());
+        fixture.run(milliseconds(900));
+        for (std::size_t earlier = 0; earlier < published.size(); ++earlier) {
+            if (fixture.time.now() - published[earlier] >= seconds(6)) {
+                INFO("change " << earlier << " at change " << change);
+                CHECK(isolated.hasTarget(fmt::format("c{}", earlier)));
+            }
+        }
+    }
+}
+
+// Guards against calls that hang beyond the return of the source, as the time of a watch is longer than what is left then.
+TEST_CASE("relay: after an outage in which no call gets a response, changes are in force within the limits from five seconds on")
+{
+    for (int phase = 0; phase < 14; ++phase) {
+        RelayFixture fixture;
+        for (const auto &host : fixture.hosts) {
+            host->direct.suppressChanges();
+            host->direct.silent = true;
+        }
+        fixture.run(seconds(8) + milliseconds(500) * phase);
+        for (const auto &host : fixture.hosts) {
+            host->direct.silent = false;
+        }
+        fixture.run(seconds(2));
+        fixture.publisher.put("t2");
+        fixture.run(seconds(3));
+        INFO("phase " << phase);
+        CHECK(fixture.allHaveTarget("t2"));
+    }
+}
+
 TEST_CASE("relay: a host without access to the source reads from others and does not log the source as regained")
 {
     RelayFixture fixture;
