Do not take a full state from a host that is behind

A host without access to the store whose history is lost reads the whole state from another host. If that one was behind, the host went back to targets that had left, and its mirror kept its higher revision with the older items: hosts that read from it would miss the changes between the two for good (a version of the configuration among them, which callers see as CONFIG until the next one). A state older than the own revision is now refused as one of a watch was before, and another host is asked. Test: relay: a full state that is older than the own one is not taken from another host (red before: older revision accepted, item lost).

--- a/src/relay/RelaySource.cpp
+++ b/src/relay/RelaySource.cpp
@@ -174,7 +174,9 @@
     path_ = Path::AnyPeer;
     pathAvoided_ = false;
     callPeer(peer, {after, Duration::zero()}, [this, peer, after, handler](std::optional<DiscoveryReadResult> result) {
-        if (!result || (after && result->revision < *after)) {
+        // A full state from a host that is itself behind would go back to targets that have left.
+        const std::int64_t known = std::max(after.value_or(0), environment_.mirror.revision());
+        if (!result || result->revision < known) {
             avoidPeer(peer, result ? "state too old" : "no valid response");
             DiscoveryReadResult failure;
             failure.error = TransportError::MalformedReply;
--- a/tests/unit/RelayTest.cpp
+++ b/tests/unit/RelayTest.cpp
@@ -385,6 +385,32 @@
     }
 }
 
+// Guards against changes that are lost to the hosts that read from a mirror whose revision is ahead of its content.
+TEST_CASE("relay: a full state that is older than the own one is not taken from another host")
+{
+    RelayFixture fixture;
+    for (const auto &host : fixture.hosts) {
+        host->direct.failing = true;
+    }
+    fixture.run(seconds(8));
+    RelayHost &ahead = *fixture.hosts.front();
+    DiscoveryReadResult newer;
+    newer.revision = fixture.publisher.revision + 5;
+    newer.items = {{"t9", newer.revision, "s"}};
+    ahead.mirror.apply(newer, false);
+    // Calls go to the source and to other hosts by turns.
+    for (int call = 0; call < 4; ++call) {
+        ahead.source.cancel();
+        std::optional<DiscoveryReadResult> result;
+        ahead.source.readAll(Freshness::Latest, [&result](const DiscoveryReadResult &read) { result = read; });
+        fixture.run(seconds(1));
+        REQUIRE(result);
+        // Another host may have read the newer state from this one meanwhile.
+        CHECK((result->error || result->revision >= newer.revision));
+        CHECK(ahead.mirror.allItems().size() == 2);
+    }
+}
+
 TEST_CASE("relay: a host without access to the source reads from others and does not log the source as regained")
 {
     RelayFixture fixture;
