Read the whole state after a response of mostly outdated versions

The hosts read a backlog of 22 versions at 1.5 MB a response, about a second each on such a link and 0.12 cores, of which only the newest version mattered. A full read has each key once; it follows now when more than half of the store's size limit of a response was replaced within the same response. Steady changes do not reach that within the wait between calls. Tests: discovery: pattern large versions after an outage, a slow link carries the newest version and not each of them (red before: version 13 in force where 31 is owed).

--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -165,6 +165,8 @@
             "",
             fmt::format(
                 "response may hold a part of the changes after={} revision={} changes={}", before, revision_, result.changes.size()));
+        // The rest may hold many outdated versions too, of which a full read has only the last.
+        needsFullRead_ = result.mostlyOutdated;
         startNextCall();
         return;
     }
--- a/src/discovery/DiscoverySource.h
+++ b/src/discovery/DiscoverySource.h
@@ -63,6 +63,7 @@
     bool sourceRecentlyUnavailable = false; ///< Missing entries may only have lapsed while the source was unavailable.
     Duration age{};                         ///< Time since this state was last confirmed to be the published one.
     bool mayHaveMore = false;               ///< More changes may wait already: the source limits the size of a response.
+    bool mostlyOutdated = false;            ///< Much of the response was replaced by its own later part; a full read is shorter.
 };
 
 /// Required freshness of a full read.
--- a/tests/unit/DiscoveryTest.cpp
+++ b/tests/unit/DiscoveryTest.cpp
@@ -37,19 +37,20 @@
 
     CancelFunction handle(ServiceRequest request, ReplyHandler handler) override
     {
-        ++calls;
         if (!available) {
             handler({503, "application/json", "{}"});
             return {};
         }
         if (request.target.starts_with("/api/kv-range")) {
-            handler({200, "application/json", R"({"items":[],"truncated":false,"store_revision":1})"});
+            const std::string item = published_.empty() ? "" : itemOf(lastRevision());
+            const std::string body = fmt::format(R"({{"items":[{}],"truncated":false,"store_revision":{}}})", item, lastRevision());
+            send({200, "application/json", body}, std::move(handler));
             return {};
         }
         constexpr std::string_view after = "after=";
         const std::int64_t revision = std::stoll(request.target.substr(request.target.find(after) + after.size()));
         if (revision < lastRevision()) {
-            handler(changesSince(revision));
+            send(changesSince(revision), std::move(handler));
             return {};
         }
         waiting_ = {revision, std::move(handler)};
@@ -73,7 +74,7 @@
         if (waiting_.second && available) {
             const auto handler = std::move(waiting_.second);
             waiting_.second = nullptr;
-            handler(changesSince(waiting_.first));
+            send(changesSince(waiting_.first), handler);
         }
     }
 
@@ -84,7 +85,7 @@
     }
 
     bool available = true;
-    unsigned calls = 0;
+    double bytesPerSecond = 1e9; ///< Of the link on which the responses arrive.
 
 private:
     struct Version {
@@ -100,13 +101,26 @@
         return 1 + static_cast<std::int64_t>(published_.size());
     }
 
+    std::string itemOf(std::int64_t revision) const
+    {
+        constexpr std::int64_t firstRevision = 2;
+        const std::string &value = published_.at(static_cast<std::size_t>(revision - firstRevision)).value;
+        return fmt::format(R"({{"key":"op/config","value":"{}","rev":{}}})", value, revision);
+    }
+
+    void send(ServiceReply reply, ReplyHandler handler)
+    {
+        const std::chrono::duration<double> transfer(static_cast<double>(reply.body.size()) / bytesPerSecond);
+        time_.callAt(time_.now() + std::chrono::duration_cast<Duration>(transfer),
+                     [reply = std::move(reply), handler = std::move(handler)] { handler(reply); });
+    }
+
     ServiceReply changesSince(std::int64_t revision) const
     {
         std::string events;
         while (revision < lastRevision() && events.size() < maxResponseBytes) {
-            const std::string &value = published_.at(static_cast<std::size_t>(revision) - 1).value;
             ++revision;
-            events += fmt::format(R"({}{{"key":"op/config","value":"{}","rev":{}}})", events.empty() ? "" : ",", value, revision);
+            events += (events.empty() ? "" : ",") + itemOf(revision);
         }
         return {200, "application/json", fmt::format(R"({{"events":[{}],"store_revision":{}}})", events, revision)};
     }
@@ -167,23 +181,22 @@
 
 } // namespace
 
-// Guards against a host that takes the first part of the pending changes for all of them and falls behind the operator.
-TEST_CASE("discovery: pattern large versions after an outage, a confirmed version is in force within the configuration delay")
+// Publishes versions during an outage and after it, and checks the configuration delay from the recovery limit on.
+void checkDelayAfterOutage(DiscoveryFixture &fixture, unsigned routeCount)
 {
-    DiscoveryFixture fixture;
     fixture.store.publish(1);
     fixture.run(seconds(3));
     REQUIRE(fixture.versionInForce() == 1);
     fixture.store.available = false;
     constexpr int versionsDuringOutage = 26;
     for (int version = 0; version < versionsDuringOutage; ++version) {
-        fixture.store.publish(manyRoutes);
+        fixture.store.publish(routeCount);
         fixture.run(publishInterval);
     }
     fixture.store.available = true;
     const TimePoint returned = fixture.time.now();
     while (fixture.time.now() < returned + seconds(12)) {
-        fixture.store.publish(manyRoutes);
+        fixture.store.publish(routeCount);
         fixture.run(publishInterval);
         if (fixture.time.now() < returned + recoveryLimit) {
             continue;
@@ -191,3 +204,20 @@
         CHECK(fixture.versionInForce() >= fixture.store.versionAt(fixture.time.now() - configurationDelayLimit));
     }
 }
+
+// Guards against a host that takes the first part of the pending changes for all of them and falls behind the operator.
+TEST_CASE("discovery: pattern large versions after an outage, a confirmed version is in force within the configuration delay")
+{
+    DiscoveryFixture fixture;
+    checkDelayAfterOutage(fixture, manyRoutes);
+}
+
+// Guards against a host that reads each version of a backlog over a link on which the newest one arrives in time.
+TEST_CASE("discovery: pattern large versions after an outage, a slow link carries the newest version and not each of them")
+{
+    DiscoveryFixture fixture;
+    // The slowest link of the users' hosts has 20 Mbit/s; a version of this many routes has 0.8 MB.
+    fixture.store.bytesPerSecond = 2.5e6;
+    constexpr unsigned routesOfLargestVersions = 4'000;
+    checkDelayAfterOutage(fixture, routesOfLargestVersions);
+}
