Decode the limit of requests that targets state, and log its changes

Decoded once, in platform/WireCodec, into RequestLimit; a replica keeps the last one. A response without a limit lifts it only if its request was sent after the limit was last stated, since responses of concurrent requests overtake each other, and a refusal lifts none. A limit that cannot be read keeps the last one and is counted. No decision uses the limit yet.

--- a/src/forward/ForwardMessages.h
+++ b/src/forward/ForwardMessages.h
@@ -23,6 +23,19 @@
     std::vector<WireHeader> headers = {}; ///< End-to-end fields, without the id and the time left.
 };
 
+/// \brief The rate of requests, of all hosts together, that a target states in a response.
+struct RequestLimit {
+    /// What the response says.
+    enum class Kind {
+        None,      ///< No limit.
+        Stated,    ///< The limit perSecond.
+        Malformed, ///< A limit that cannot be read.
+    };
+
+    Kind kind = Kind::None;
+    double perSecond = 0; ///< Finite and not negative; valid for Stated.
+};
+
 /// \brief Response of a target.
 struct TargetResponse {
     unsigned status = 0;
@@ -32,6 +45,7 @@
     bool closesConnection = false;     ///< The target is about to close the connection.
     std::string signature;             ///< Of this response; empty if it has none.
     std::optional<Duration> keepAlive; ///< How long the target keeps an idle connection, if it says so.
+    RequestLimit limit;                ///< The rate of requests that the target takes at present.
     std::string body;
     std::vector<WireHeader> headers = {}; ///< End-to-end fields, with the id and the signature.
 };
--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -387,6 +387,7 @@
             fmt::format("address now belongs to another target target={} address={}", entry_.id, entry_.address.toString()));
         return;
     }
+    applyRequestLimit(attempt, result.response);
     result.outcome = result.response.notRun ? AttemptOutcome::NotRun : AttemptOutcome::Answered;
     if (!isSuccess(result.response)) {
         recordFailure(result.response.notRun ? "shed" : "failure answered");
@@ -400,6 +401,35 @@
     recordLatency(attempt, result.elapsed);
 }
 
+void Replica::applyRequestLimit(const Attempt &attempt, const TargetResponse &response)
+{
+    const std::optional<double> before = requestLimit_;
+    switch (response.limit.kind) {
+    case RequestLimit::Kind::Malformed:
+        environment_.counters.add("magnoliaspan_target_limits_malformed_total");
+        return;
+    case RequestLimit::Kind::Stated:
+        requestLimit_ = response.limit.perSecond;
+        requestLimitAt_ = environment_.clock.now();
+        break;
+    case RequestLimit::Kind::None:
+        // A response to an earlier request may have been sent before the limit was stated; a refusal says nothing of it.
+        if (response.notRun || *attempt.sentAt <= requestLimitAt_) {
+            return;
+        }
+        requestLimit_.reset();
+        break;
+    }
+    if (requestLimit_ == before) {
+        return;
+    }
+    environment_.journal.record(
+        LogCategory::Target,
+        "",
+        requestLimit_ ? fmt::format("target limits the requests of all hosts target={} per_second={}", entry_.id, *requestLimit_)
+                      : fmt::format("target no longer limits requests target={}", entry_.id));
+}
+
 // Only successful responses count: refusals are fast and say nothing about how long a request takes.
 void Replica::recordLatency(const Attempt &attempt, Duration elapsed)
 {
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -162,6 +162,7 @@
     unsigned busyConnections() const;
     std::size_t connectingCount() const;
     void recordLatency(const Attempt &attempt, Duration elapsed);
+    void applyRequestLimit(const Attempt &attempt, const TargetResponse &response);
     void classifyReply(Attempt &attempt, AttemptResult &result, WireReply reply);
     void onConnectionIdle(ConnectionId id);
     void onClosed(ConnectionId id);
@@ -194,6 +195,8 @@
     bool retired_ = false;
     TimePoint connectBackoffUntil_{}; // Set while the target accepts no further connections.
     unsigned consecutiveRejections_ = 0;
+    std::optional<double> requestLimit_; // Requests a second of all hosts together, as the target stated last.
+    TimePoint requestLimitAt_{};         // When it was last stated.
     std::shared_ptr<int> lifetimeToken_; // Callbacks hold it weakly and do nothing once the replica is destroyed.
 };
 
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -272,6 +272,16 @@
     plain.headers = {{"X-Magnoliaspan-Response-Signature", "s"}, {"Keep-Alive", "timeout=5, max=9"}};
     CHECK_FALSE(codec->decodeResponse(plain).notRun);
     CHECK(codec->decodeResponse(plain).keepAlive == std::chrono::seconds(5));
+    CHECK(codec->decodeResponse(plain).limit.kind == RequestLimit::Kind::None);
+    for (const char *text : {"", "x", "-1", "inf", "nan"}) {
+        WireReply limited;
+        limited.headers = {{"Server-Limit", text}};
+        CHECK(codec->decodeResponse(limited).limit.kind == RequestLimit::Kind::Malformed);
+    }
+    WireReply limited;
+    limited.headers = {{"server-limit", "17.6"}};
+    CHECK(codec->decodeResponse(limited).limit.kind == RequestLimit::Kind::Stated);
+    CHECK(codec->decodeResponse(limited).limit.perSecond == 17.6);
     WireReply packed;
     packed.status = 200;
     packed.headers = {{"X-Magnoliaspan-Response-Signature", "s"}, {"Content-Encoding", "gzip"}};
