Keep to the limits of requests that targets state, all hosts together

Cause: nothing read the limit, and since these targets refuse nothing, no other mechanism slowed hosts down. The class is a published protection that the program does not know; beside it the cold bound, which hosts divide equally, has the same shape (see docs/PLATFORM.md, Not done).

Each host now takes the share of the limit that its load has in that of all hosts, through the load exchange that exists, as permissions at even intervals with a random phase that lapse after half a second. Ruled out by test: token buckets, which hold one request on each of 295 hosts after a pause; equal parts, since two thirds of the hosts of a zone may have no callers.

Tests: rate allowance (1 to 295 hosts, limits 0.5 to 200, saturated and after a pause, with changing rates), request limit (pattern capped targets, share of six hosts, end of the limit, a limit of zero, refusal when all are at their limits). Without the check in pick() four of the five request limit cases are red: 191 requests in 4 s where 125 are allowed.

--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -40,8 +40,11 @@
 constexpr Duration maxQueueTime = std::chrono::milliseconds(600);
 // A slow replica without a response for this long is probed by one request at a time.
 constexpr Duration staleAfter = std::chrono::seconds(1);
+// Only a response can say that a limit no longer holds, so that a few requests are sent even to a target that takes none.
+constexpr double minFleetRate = 0.5;
 
-double coldPhase(std::uint64_t seed, const std::string &target)
+// Of intervals between sends, 0 to 1: hosts that share a limit must not send at the same instants.
+double phaseOf(std::uint64_t seed, const std::string &target)
 {
     std::mt19937_64 random(seed ^ std::hash<std::string>{}(target));
     return std::uniform_real_distribution<double>(0, 1)(random);
@@ -72,8 +75,9 @@
     : environment_(environment)
     , entry_(std::move(entry))
     , limits_(limits)
-    , health_(environment.clock, limits.cold, entry_.coldLeft, coldPhase(environment.seed, entry_.id))
+    , health_(environment.clock, limits.cold, entry_.coldLeft, phaseOf(environment.seed, entry_.id))
     , concurrency_(limits.connections, limits.connections)
+    , allowance_(phaseOf(environment.seed, entry_.id))
     , allowedConnections_(limits.otherRegion ? initialRemoteConnections : initialLocalConnections)
     , lifetimeToken_(std::make_shared<int>(0))
 {
@@ -104,6 +108,26 @@
     limits_ = limits;
     health_.setLimits(limits.cold);
     concurrency_.setMaximum(limits.connections);
+    setTrafficShare(limits.trafficShare);
+}
+
+void Replica::setTrafficShare(double share)
+{
+    limits_.trafficShare = share;
+    if (requestLimit_) {
+        allowance_.setRate(allowedRate(), environment_.clock.now());
+    }
+}
+
+double Replica::allowedRate() const
+{
+    assert(requestLimit_ && "only a target with a limit has an allowed rate");
+    return std::max(minFleetRate, *requestLimit_) * limits_.trafficShare;
+}
+
+bool Replica::hasAllowance() const
+{
+    return !requestLimit_ || allowance_.isAvailable(environment_.clock.now());
 }
 
 void Replica::updateEntry(const TargetEntry &entry)
@@ -234,6 +258,9 @@
     Attempt &attempt = attempts_[id];
     attempt.options = std::move(options);
     attempt.queuedAt = environment_.clock.now();
+    if (requestLimit_) {
+        allowance_.tryAcquire(attempt.queuedAt);
+    }
     const ConnectionId pooled = canStartAttempt() ? findIdleConnection(idempotent) : ConnectionId::None;
     if (pooled != ConnectionId::None) {
         startAttempt(pooled, id);
@@ -423,6 +450,11 @@
     if (requestLimit_ == before) {
         return;
     }
+    if (requestLimit_ && before) {
+        allowance_.setRate(allowedRate(), environment_.clock.now());
+    } else if (requestLimit_) {
+        allowance_.start(allowedRate(), environment_.clock.now());
+    }
     environment_.journal.record(
         LogCategory::Target,
         "",
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -11,6 +11,7 @@
 #include "forward/AttemptQueue.h"
 #include "forward/ForwardEnvironment.h"
 #include "forward/LatencyEstimate.h"
+#include "forward/RateAllowance.h"
 #include "forward/ReplicaHealth.h"
 #include "forward/ReplicaScore.h"
 
@@ -59,6 +60,7 @@
     unsigned connections = 1; ///< This host's share.
     ColdLimits cold;
     bool otherRegion = false;
+    double trafficShare = 1; ///< This host's share of the requests of all hosts, 0 to 1; it gets that share of a target's limit.
 };
 
 /// \brief Sends attempts to one target instance and tracks its load, latency and health.
@@ -74,6 +76,9 @@
     const ReplicaLimits &limits() const;
     void setLimits(const ReplicaLimits &limits);
 
+    /// \brief Sets ReplicaLimits::trafficShare.
+    void setTrafficShare(double share);
+
     /// \brief Applies a changed entry of the same target instance.
     void updateEntry(const TargetEntry &entry);
 
@@ -87,6 +92,9 @@
     /// \returns false if this host's share is used up.
     bool tryAcquireColdSend();
 
+    /// \returns whether the target states no limit of requests, or this host's part of it permits one now.
+    bool hasAllowance() const;
+
     /// \brief Stops use of this instance: it is gone, or its address belongs to another target.
     /// Queued attempts end as NeverSent; running ones continue.
     void retire();
@@ -104,7 +112,8 @@
     /// \returns when an attempt queued now would complete if the queue drains at its present rate.
     TimePoint predictedCompletion(const std::string &workKind, const LatencyBaseline &baseline) const;
 
-    /// \brief Sends a request on an idle or new connection, or queues it until one is free.
+    /// \brief Sends a request on an idle or new connection, or queues it until one is free. Uses up a permission of
+    /// hasAllowance().
     AttemptId send(AttemptOptions options);
 
     /// \returns whether the attempt still waits for a connection, so that no byte of it has left this host.
@@ -162,6 +171,7 @@
     unsigned busyConnections() const;
     std::size_t connectingCount() const;
     void recordLatency(const Attempt &attempt, Duration elapsed);
+    double allowedRate() const;
     void applyRequestLimit(const Attempt &attempt, const TargetResponse &response);
     void classifyReply(Attempt &attempt, AttemptResult &result, WireReply reply);
     void onConnectionIdle(ConnectionId id);
@@ -197,6 +207,7 @@
     unsigned consecutiveRejections_ = 0;
     std::optional<double> requestLimit_; // Requests a second of all hosts together, as the target stated last.
     TimePoint requestLimitAt_{};         // When it was last stated.
+    RateAllowance allowance_;            // Of this host's part; valid while requestLimit_ is set.
     std::shared_ptr<int> lifetimeToken_; // Callbacks hold it weakly and do nothing once the replica is destroyed.
 };
 
--- a/src/forward/ReplicaController.cpp
+++ b/src/forward/ReplicaController.cpp
@@ -81,9 +81,15 @@
     return limits_;
 }
 
+double ReplicaController::trafficShare() const
+{
+    return std::min(1.0, trafficWeight_ / std::max(1U, limits_.hosts));
+}
+
 ReplicaLimits ReplicaController::limitsFor(const TargetEntry &entry) const
 {
     ReplicaLimits result;
+    result.trafficShare = trafficShare();
     result.otherRegion = location_.regionOf(entry.zone) != location_.regionOf(location_.zone);
     const ServiceSpec *service = registry_.table() ? registry_.table()->findService(entry.service) : nullptr;
     if (service == nullptr) {
@@ -228,14 +234,19 @@
         }
         (replica->isCold() ? cold : warm).push_back(replica);
     }
-    if (auto replica = best(warm, query)) {
+    ReplicaList allowed = warm;
+    std::erase_if(allowed, [](const auto &replica) { return !replica->hasAllowance(); });
+    if (auto replica = best(allowed, query)) {
         return replica;
     }
     if (auto replica = best(draining, query)) {
         return replica;
     }
+    if (!warm.empty()) {
+        return nullptr;
+    }
     for (const auto &replica : cold) {
-        if (replica->tryAcquireColdSend()) {
+        if (replica->hasAllowance() && replica->tryAcquireColdSend()) {
             return replica;
         }
     }
@@ -245,7 +256,7 @@
 std::optional<Duration> ReplicaController::expectedDuration(const ReplicaQuery &query) const
 {
     ReplicaList warm = candidates(query);
-    std::erase_if(warm, [](const auto &replica) { return !isReady(replica) || replica->isCold(); });
+    std::erase_if(warm, [](const auto &replica) { return !isReady(replica) || replica->isCold() || !replica->hasAllowance(); });
     const auto replica = best(warm, query);
     if (!replica) {
         return std::nullopt;
@@ -351,6 +362,7 @@
 {
     std::erase_if(retired_, [](const std::shared_ptr<Replica> &replica) { return replica->attemptCount() == 0; });
     for (const auto &[id, replica] : replicas_) {
+        replica->setTrafficShare(trafficShare());
         replica->runMaintenance();
     }
 }
--- a/src/forward/ReplicaController.h
+++ b/src/forward/ReplicaController.h
@@ -47,7 +47,8 @@
     /// \brief Sets the number of hosts that share the limits.
     void setHostCount(unsigned hosts);
 
-    /// \brief Sets the traffic of this host relative to the mean of all hosts; it gets that part of the extra sends.
+    /// \brief Sets the traffic of this host relative to the mean of all hosts; it gets that part of the extra sends and of the limits that
+    /// targets state.
     void setTrafficWeight(double weight);
 
     const ForwardLimits &limits() const;
@@ -58,7 +59,8 @@
     void onTargetRemoved(const std::string &id);
     void onZoneChanged(const std::string &zone, bool evacuated);
 
-    /// \brief Selects the replica with the lowest score; a cold one only if no warm one can be used.
+    /// \brief Selects the replica with the lowest score; a cold one only if there is no warm one. A replica whose target limits
+    /// requests is selected only within this host's part of the limit.
     /// Selecting a cold replica uses up part of its share.
     /// \returns null if none can be used now.
     std::shared_ptr<Replica> pick(const ReplicaQuery &query);
@@ -117,6 +119,7 @@
 
     ExtraSendLimits extraSendLimits() const;
     ServiceTraffic &trafficOf(std::string_view service);
+    double trafficShare() const;
     ReplicaLimits limitsFor(const TargetEntry &entry) const;
     bool isUsable(const Replica &replica, const ReplicaQuery &query) const;
     void index(const TargetEntry &entry);
--- a/tests/unit/ForwardFixture.cpp
+++ b/tests/unit/ForwardFixture.cpp
@@ -56,6 +56,9 @@
     response.otherTarget = reply.status == 421;
     response.notRun = !headerOf(reply.headers, "not-run").empty() || response.otherTarget;
     response.signature = headerOf(reply.headers, "signature");
+    if (const std::string limit = headerOf(reply.headers, "limit"); !limit.empty()) {
+        response.limit = {RequestLimit::Kind::Stated, std::stod(limit)};
+    }
     response.headers = reply.headers;
     response.body = std::move(reply.body);
     return response;
@@ -174,7 +177,11 @@
         const auto found = work_.extract(number);
         if (!found.empty()) {
             // Two records of 16 bytes, the lesser one first.
-            found.mapped().handler({200, "", std::string(16, 'a') + std::string(16, id.back()), false, {{"signature", id}}});
+            std::vector<WireHeader> headers{{"signature", id}};
+            if (limit) {
+                headers.push_back({"limit", fmt::format("{}", *limit)});
+            }
+            found.mapped().handler({200, "", std::string(16, 'a') + std::string(16, id.back()), false, std::move(headers)});
         }
         --busy_;
         while (!queue_.empty() && busy_ < slots_) {
