--- a/tests/unit/RelayTest.cpp
+++ b/tests/unit/RelayTest.cpp
@@ -385,6 +385,22 @@
     }
 }
 
+// Guards against a follower that has access to the source but goes by readers that have none.
+TEST_CASE("relay: followers have a change within five seconds after all readers of their zone lost the source")
+{
+    RelayFixture fixture;
+    for (RelayHost *reader : fixture.readers) {
+        reader->direct.suppressChanges();
+        reader->direct.silent = true;
+    }
+    fixture.publisher.put("t2");
+    // The shortest limit on configuration delay among the users' sites that have followers.
+    fixture.run(seconds(5));
+    for (const RelayHost *follower : fixture.followers) {
+        CHECK(follower->hasTarget("t2"));
+    }
+}
+
 // Guards against changes that are lost to the hosts that read from a mirror whose revision is ahead of its content.
 TEST_CASE("relay: a full state that is older than the own one is not taken from another host")
 {
