Take only a response with the id of the request for its response

Cause: the check in platform/WireCodec accepted responses without an id, and targets in trouble send second answers without one; such an answer that arrives while the next request is being sent, or before a stopped host reads again, was taken for the answer to that request. Besides, a connection that delivered a response to another request is not kept after the exchange, and the fourth such response ends it. Ruled out: answers seen between two requests; these closed the connection before.

Tests on sockets with the platform's codec, three red before (the caller of b got the bytes of the surplus answer). One check of PlatformTest said that a response without an id belongs to the request: that was the fault itself; it now says the opposite, and that the own id is accepted.

--- a/src/net/HttpTransport.cpp
+++ b/src/net/HttpTransport.cpp
@@ -24,6 +24,8 @@
 
 constexpr std::size_t maxReplyBytes = 4'194'304;
 constexpr unsigned httpVersion = 11;
+// A target in trouble may send a response twice; one that goes on is not waited for.
+constexpr unsigned maxUnaskedReplies = 3;
 constexpr const char *authorizationField = "X-Peer-Authorization";
 
 /// Whether an idle connection can carry another exchange.
@@ -155,15 +157,12 @@
         WireReply reply = takeReply();
         const bool staysOpen = parser_->get().keep_alive();
         if (belongs_ && !belongs_(reply)) {
-            if (!staysOpen) {
-                fail(TransportError::ConnectionLost);
-                return;
-            }
-            readReply();
+            onUnaskedReply(staysOpen);
             return;
         }
-        // The connection cannot be reused if bytes follow the response or if the request is still being written.
-        const bool keepAlive = staysOpen && buffer_.size() == 0 && !writing_;
+        // The connection cannot be reused if bytes follow the response, if the request is still being written, or if a response
+        // to another request arrived: more of them may follow.
+        const bool keepAlive = staysOpen && buffer_.size() == 0 && !writing_ && unaskedReplies_ == 0;
         bytesSent_ = false;
         const auto handler = std::move(replyHandler_);
         replyHandler_ = nullptr;
@@ -178,6 +177,19 @@
         watchForClose();
     }
 
+    // The response to the running request may still follow.
+    void onUnaskedReply(bool staysOpen)
+    {
+        ++unaskedReplies_;
+        if (!staysOpen) {
+            fail(TransportError::ConnectionLost);
+        } else if (unaskedReplies_ > maxUnaskedReplies) {
+            fail(TransportError::MalformedReply);
+        } else {
+            readReply();
+        }
+    }
+
     WireReply takeReply()
     {
         auto &message = parser_->get();
@@ -251,6 +263,7 @@
     beast::flat_buffer buffer_;
     bool bytesSent_ = false;                         // Whether any byte of the running exchange's request may have been sent.
     std::function<bool(const WireReply &)> belongs_; // Of the running exchange; whether a reply is to its request.
+    unsigned unaskedReplies_ = 0;                    // Responses to other requests than the running one, on this connection.
     bool writing_ = false;                           // Whether the request is still being written.
     bool watchingForClose_ = false;
     bool closing_ = false;
--- a/src/transport/Connection.h
+++ b/src/transport/Connection.h
@@ -36,8 +36,8 @@
     /// are sent unchanged and only the content length is added.
     std::string method = {};
 
-    /// Returns whether a response belongs to this request; one that does not is discarded and the next one awaited.
-    /// If empty, every response is accepted.
+    /// Returns whether a response belongs to this request. One that does not is discarded, a few times at most, and the next
+    /// one awaited; the connection is closed after the exchange. If empty, every response is accepted.
     std::function<bool(const WireReply &)> replyFilter = {};
 };
 
--- a/tests/unit/HttpTransportTest.cpp
+++ b/tests/unit/HttpTransportTest.cpp
@@ -3,6 +3,7 @@
  * truncated, malformed or early responses.
  */
 #include "magnoliaspan/net.h"
+#include "platform/Adapter.h"
 #include "transport/TransportError.h"
 
 #include <catch2/catch.hpp>
@@ -248,3 +249,101 @@
     fixture.runFor(std::chrono::milliseconds(50));
     CHECK(fixture.closed);
 }
+
+namespace {
+
+/// A target's response to the request \p id on the users' platform; without its id if \p id is empty.
+std::string platformResponse(const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nX-Magnoliaspan-Response-Signature: s-" + body + "\r\n"
+           + (id.empty() ? "" : "X-Magnoliaspan-Request-Id: " + id + "\r\n") + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+           + body;
+}
+
+/// The request \p id as this program sends it on the users' platform.
+WireRequest platformRequest(const std::string &id)
+{
+    ForwardRequest forwarded;
+    forwarded.id = id;
+    forwarded.method = "GET";
+    forwarded.target = "/x";
+    return platform::makeCodec()->encodeRequest(forwarded, "i-1", std::chrono::seconds(1));
+}
+
+} // namespace
+
+// Guards against a caller that receives the response to another request, because a target sent a second one without an id.
+TEST_CASE("HTTP transport: a complete response without the id of the request is not taken for its response")
+{
+    SECTION("it arrives late, where the next response is expected")
+    {
+        TransportFixture fixture(29'430, {platformResponse("a", "first"), platformResponse("", "no") + platformResponse("b", "second")});
+        CHECK(fixture.exchange(platformRequest("a")).body == "first");
+        const WireReply second = fixture.exchange(platformRequest("b"));
+        CHECK_FALSE(second.error);
+        CHECK(second.body == "second");
+        fixture.runFor(std::chrono::milliseconds(50));
+        CHECK(fixture.closed);
+    }
+    SECTION("it arrives alone")
+    {
+        TransportFixture fixture(29'431, {platformResponse("a", "first"), platformResponse("", "no")});
+        fixture.target.afterResponse = [&fixture, responses = 0]() mutable {
+            if (++responses == 2) {
+                fixture.loop.callAt(fixture.clock.now() + std::chrono::milliseconds(30), [&fixture] { fixture.target.close(); });
+            }
+        };
+        CHECK(fixture.exchange(platformRequest("a")).body == "first");
+        const WireReply second = fixture.exchange(platformRequest("b"));
+        CHECK(second.error);
+        CHECK(second.bytesSent);
+    }
+    SECTION("it arrives at once, behind the response")
+    {
+        TransportFixture fixture(29'432, {platformResponse("a", "first") + platformResponse("", "no")});
+        CHECK(fixture.exchange(platformRequest("a")).body == "first");
+        fixture.runFor(std::chrono::milliseconds(50));
+        CHECK(fixture.closed);
+    }
+    SECTION("it arrives while the host is stopped between two requests")
+    {
+        TransportFixture fixture(29'433, {platformResponse("a", "first")});
+        CHECK(fixture.exchange(platformRequest("a")).body == "first");
+        fixture.target.send(platformResponse("", "no"));
+        ::usleep(20'000);
+        const WireReply second = fixture.exchange(platformRequest("b"));
+        CHECK(second.error);
+        CHECK_FALSE(second.bytesSent);
+    }
+}
+
+TEST_CASE("HTTP transport: a connection that delivered a response to an earlier request is not used again")
+{
+    TransportFixture fixture(29'434, {platformResponse("a", "first"), platformResponse("a", "again") + platformResponse("b", "second")});
+    CHECK(fixture.exchange(platformRequest("a")).body == "first");
+    CHECK(fixture.exchange(platformRequest("b")).body == "second");
+    fixture.runFor(std::chrono::milliseconds(50));
+    CHECK(fixture.closed);
+}
+
+TEST_CASE("HTTP transport: the same request sent again on a connection gets a response to it, and bytes beyond it close the connection")
+{
+    TransportFixture fixture(29'435, {platformResponse("a", "whole"), platformResponse("a", "whole") + platformResponse("a", "whole")});
+    CHECK(fixture.exchange(platformRequest("a")).body == "whole");
+    CHECK(fixture.exchange(platformRequest("a")).body == "whole");
+    fixture.runFor(std::chrono::milliseconds(50));
+    CHECK(fixture.closed);
+}
+
+// Guards against a target that keeps a host reading with complete responses to other requests.
+TEST_CASE("HTTP transport: an exchange ends after a few responses to other requests")
+{
+    std::string series;
+    for (int response = 0; response < 200; ++response) {
+        series += platformResponse("other", "no");
+    }
+    TransportFixture fixture(29'436, {series + platformResponse("a", "late")});
+    const WireReply reply = fixture.exchange(platformRequest("a"));
+    CHECK(reply.error == TransportError::MalformedReply);
+    CHECK(reply.bytesSent);
+}
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -250,9 +250,11 @@
     CHECK(headers.count("Connection") == 0);
     WireReply reply;
     reply.status = 200;
-    CHECK(wire.replyFilter(reply));
+    CHECK_FALSE(wire.replyFilter(reply));
     reply.headers = {{"X-Magnoliaspan-Request-Id", "id-2"}};
     CHECK_FALSE(wire.replyFilter(reply));
+    reply.headers = {{"X-Magnoliaspan-Request-Id", "id-1"}};
+    CHECK(wire.replyFilter(reply));
 }
 
 TEST_CASE("platform: headers and status of a target's response are decoded")
