--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -257,6 +257,23 @@
     CHECK(wire.replyFilter(reply));
 }
 
+// Guards against undefined behaviour by a caller or target that states a time beyond what a Duration can hold.
+TEST_CASE("platform: times in headers that are not finite are ignored, and immense ones are cut")
+{
+    const auto codec = platform::makeCodec();
+    for (const char *text : {"inf", "nan", "1e400"}) {
+        ServiceRequest incoming;
+        incoming.headers = {{"X-Magnoliaspan-Request-Deadline", text}};
+        CHECK_FALSE(codec->decodeRequest(incoming).timeLeft);
+    }
+    ServiceRequest incoming;
+    incoming.headers = {{"X-Magnoliaspan-Request-Deadline", "1e300"}};
+    CHECK(codec->decodeRequest(incoming).timeLeft == std::chrono::hours(1));
+    WireReply reply;
+    reply.headers = {{"Keep-Alive", "timeout=1e300"}};
+    CHECK(codec->decodeResponse(reply).keepAlive == std::chrono::hours(1));
+}
+
 TEST_CASE("platform: headers and status of a target's response are decoded")
 {
     const auto codec = platform::makeCodec();
