Bound the bytes of a response that the parser keeps unread

A target, the store or another host that sends a chunk size, a chunk extension or trailers without end made a host keep all of it in memory until the deadline: 64 MB in less than a second in the test, on hosts of 160 MB. The parser has limits for heads and bodies only; the buffer that it reads from had none. It has one now, beyond which the exchange ends as an error, and the attempt as lost. Test: HTTP transport: bytes without end are an error after a bounded number of them (eleven kinds; red before in a chunk extension, a chunk size and trailers; heads, bodies and chunks were bounded before).

--- a/src/net/HttpTransport.cpp
+++ b/src/net/HttpTransport.cpp
@@ -23,6 +23,8 @@
 using asio::ip::tcp;
 
 constexpr std::size_t maxReplyBytes = 4'194'304;
+// The parser waits for the end of chunk sizes, chunk extensions and trailers in the buffer; its own limits don't cover these.
+constexpr std::size_t maxUnparsedBytes = 65'536;
 constexpr unsigned httpVersion = 11;
 // A target in trouble may send a response twice; one that goes on is not waited for.
 constexpr unsigned maxUnaskedReplies = 3;
@@ -260,7 +262,7 @@
     Connection::ReplyHandler replyHandler_; // Set while an exchange is running.
     http::request<http::string_body> request_;
     std::optional<http::response_parser<http::string_body>> parser_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{maxUnparsedBytes};
     bool bytesSent_ = false;                         // Whether any byte of the running exchange's request may have been sent.
     std::function<bool(const WireReply &)> belongs_; // Of the running exchange; whether a reply is to its request.
     unsigned unaskedReplies_ = 0;                    // Responses to other requests than the running one, on this connection.
--- a/tests/unit/HttpTransportTest.cpp
+++ b/tests/unit/HttpTransportTest.cpp
@@ -44,6 +44,7 @@
     ~ScriptedTarget()
     {
         loop_.cancel(timer_);
+        loop_.cancel(streamTimer_);
         ::close(listener_);
         close();
     }
@@ -72,8 +73,22 @@
         ::send(connection_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
 
+    /// Sends \p bytes again and again, as fast as the host reads, until it closes the connection or \p limit bytes are sent.
+    void sendWithoutEnd(const std::string &bytes, std::size_t limit)
+    {
+        ssize_t count = 0;
+        while (sentWithoutEnd < limit && (count = ::send(connection_, bytes.data(), bytes.size(), MSG_NOSIGNAL)) > 0) {
+            // After a part of the bytes the next repetition starts anew, which is as good.
+            sentWithoutEnd += static_cast<std::size_t>(count);
+        }
+        if (sentWithoutEnd < limit && count < 0 && errno == EAGAIN) {
+            streamTimer_ = loop_.callAt(clock_.now() + pollInterval, [this, bytes, limit] { sendWithoutEnd(bytes, limit); });
+        }
+    }
+
     std::function<void()> afterResponse; ///< Called after each response.
     std::size_t maxReadBytes = 65'536;   ///< Bytes read from the socket before a response.
+    std::size_t sentWithoutEnd = 0;      ///< Bytes that sendWithoutEnd() has handed to the socket.
 
 private:
     void poll()
@@ -105,6 +120,7 @@
     std::size_t nextResponse_ = 0;
     std::string received_;
     TimerId timer_ = TimerId::None;
+    TimerId streamTimer_ = TimerId::None;
 };
 
 std::string httpResponse(const std::string &id, const std::string &body)
@@ -347,3 +363,41 @@
     CHECK(reply.error == TransportError::MalformedReply);
     CHECK(reply.bytesSent);
 }
+
+// Guards against a target, store or host that keeps sending bytes that are no response and so takes memory without bound.
+TEST_CASE("HTTP transport: bytes without end are an error after a bounded number of them")
+{
+    struct Stream {
+        std::string name;
+        std::string start;
+        std::string repeated;
+    };
+    const std::string chunked = "HTTP/1.1 200 OK\r\nX-Magnoliaspan-Request-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(1'000, 'x');
+    const std::vector<Stream> streams = {
+        {"in a status line", "HTTP/1.1 200 ", filler},
+        {"in a header field", "HTTP/1.1 200 OK\r\nA: ", filler},
+        {"in many header fields", "HTTP/1.1 200 OK\r\n", "A: " + filler + "\r\n"},
+        {"in a body without length", "HTTP/1.1 200 OK\r\nX-Magnoliaspan-Request-Id: a\r\n\r\n", filler},
+        {"in chunks", chunked, "3e8\r\n" + filler + "\r\n"},
+        {"in a chunk extension", chunked + "5;", filler},
+        {"in a chunk size", chunked, std::string(1'000, '0')},
+        {"in trailers", chunked + "0\r\n", "A: " + filler + "\r\n"},
+        {"in informational responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+        {"in responses to other requests", "", platformResponse("other", "no")},
+        {"of no protocol", "", filler},
+    };
+    std::uint16_t port = 29'440;
+    for (const Stream &stream : streams) {
+        INFO(stream.name);
+        TransportFixture fixture(port++, {stream.start + stream.repeated});
+        // More than the largest body and the buffers of both sockets.
+        constexpr std::size_t limit = 64'000'000;
+        fixture.target.afterResponse = [&fixture, &stream] { fixture.target.sendWithoutEnd(stream.repeated, limit); };
+        const WireReply reply = fixture.exchange(platformRequest("a"));
+        CHECK(reply.error);
+        CHECK(reply.error != TransportError::Silent);
+        CHECK(reply.bytesSent);
+        CHECK(fixture.target.sentWithoutEnd < limit / 2);
+    }
+}
