--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -3,6 +3,7 @@
  */
 #include "net/HttpServer.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -24,6 +25,7 @@
 
 constexpr int listenBacklog = 1'024;
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
+constexpr std::size_t maxUnparsedBytes = 65'536;
 
 std::string headerValue(const http::request<http::string_body> &request, std::string_view name)
 {
@@ -203,6 +205,8 @@
         parser_.emplace();
         parser_->header_limit(static_cast<std::uint32_t>(server_->limits.maxHeaderBytes));
         parser_->body_limit(server_->limits.maxBodyBytes);
+        // The parser waits for the end of chunk extensions and trailers in the buffer; its limits don't cover these.
+        buffer_.max_size(std::max(maxUnparsedBytes, server_->limits.maxHeaderBytes));
         http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](boost::system::error_code error, std::size_t) {
             self->onRequestRead(error);
         });
