Move the limit that a target states into a class of its own

Replica kept the limit, the time of its statement and the permissions beside its connections; TargetRequestLimit holds them and decides which responses state, keep or end it. The two unit tests that encode base64 share one function.

--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -40,8 +40,6 @@
 constexpr Duration maxQueueTime = std::chrono::milliseconds(600);
 // A slow replica without a response for this long is probed by one request at a time.
 constexpr Duration staleAfter = std::chrono::seconds(1);
-// Only a response can say that a limit no longer holds, so that a few requests are sent even to a target that takes none.
-constexpr double minFleetRate = 0.5;
 
 // Of intervals between sends, 0 to 1: hosts that share a limit must not send at the same instants.
 double phaseOf(std::uint64_t seed, const std::string &target)
@@ -77,7 +75,7 @@
     , limits_(limits)
     , health_(environment.clock, limits.cold, entry_.coldLeft, phaseOf(environment.seed, entry_.id))
     , concurrency_(limits.connections, limits.connections)
-    , allowance_(phaseOf(environment.seed, entry_.id))
+    , requestLimit_(phaseOf(environment.seed, entry_.id))
     , allowedConnections_(limits.otherRegion ? initialRemoteConnections : initialLocalConnections)
     , lifetimeToken_(std::make_shared<int>(0))
 {
@@ -114,20 +112,12 @@
 void Replica::setTrafficShare(double share)
 {
     limits_.trafficShare = share;
-    if (requestLimit_) {
-        allowance_.setRate(allowedRate(), environment_.clock.now());
-    }
-}
-
-double Replica::allowedRate() const
-{
-    assert(requestLimit_ && "only a target with a limit has an allowed rate");
-    return std::max(minFleetRate, *requestLimit_) * limits_.trafficShare;
+    requestLimit_.setTrafficShare(share, environment_.clock.now());
 }
 
 bool Replica::hasAllowance() const
 {
-    return !requestLimit_ || allowance_.isAvailable(environment_.clock.now());
+    return requestLimit_.permitsRequest(environment_.clock.now());
 }
 
 void Replica::updateEntry(const TargetEntry &entry)
@@ -258,9 +248,7 @@
     Attempt &attempt = attempts_[id];
     attempt.options = std::move(options);
     attempt.queuedAt = environment_.clock.now();
-    if (requestLimit_) {
-        allowance_.tryAcquire(attempt.queuedAt);
-    }
+    requestLimit_.recordRequest(attempt.queuedAt);
     const ConnectionId pooled = canStartAttempt() ? findIdleConnection(idempotent) : ConnectionId::None;
     if (pooled != ConnectionId::None) {
         startAttempt(pooled, id);
@@ -430,36 +418,17 @@
 
 void Replica::applyRequestLimit(const Attempt &attempt, const TargetResponse &response)
 {
-    const std::optional<double> before = requestLimit_;
-    switch (response.limit.kind) {
-    case RequestLimit::Kind::Malformed:
+    if (response.limit.kind == RequestLimit::Kind::Malformed) {
         environment_.counters.add("magnoliaspan_target_limits_malformed_total");
-        return;
-    case RequestLimit::Kind::Stated:
-        requestLimit_ = response.limit.perSecond;
-        requestLimitAt_ = environment_.clock.now();
-        break;
-    case RequestLimit::Kind::None:
-        // A response to an earlier request may have been sent before the limit was stated; a refusal says nothing of it.
-        if (response.notRun || *attempt.sentAt <= requestLimitAt_) {
-            return;
-        }
-        requestLimit_.reset();
-        break;
     }
-    if (requestLimit_ == before) {
+    if (!requestLimit_.applyResponse(response.limit, *attempt.sentAt, response.notRun, environment_.clock.now())) {
         return;
     }
-    if (requestLimit_ && before) {
-        allowance_.setRate(allowedRate(), environment_.clock.now());
-    } else if (requestLimit_) {
-        allowance_.start(allowedRate(), environment_.clock.now());
-    }
-    environment_.journal.record(
-        LogCategory::Target,
-        "",
-        requestLimit_ ? fmt::format("target limits the requests of all hosts target={} per_second={}", entry_.id, *requestLimit_)
-                      : fmt::format("target no longer limits requests target={}", entry_.id));
+    const auto limit = requestLimit_.perSecond();
+    environment_.journal.record(LogCategory::Target,
+                                "",
+                                limit ? fmt::format("target limits the requests of all hosts target={} per_second={}", entry_.id, *limit)
+                                      : fmt::format("target no longer limits requests target={}", entry_.id));
 }
 
 // Only successful responses count: refusals are fast and say nothing about how long a request takes.
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -11,9 +11,9 @@
 #include "forward/AttemptQueue.h"
 #include "forward/ForwardEnvironment.h"
 #include "forward/LatencyEstimate.h"
-#include "forward/RateAllowance.h"
 #include "forward/ReplicaHealth.h"
 #include "forward/ReplicaScore.h"
+#include "forward/TargetRequestLimit.h"
 
 #include <cstdint>
 #include <functional>
@@ -171,7 +171,6 @@
     unsigned busyConnections() const;
     std::size_t connectingCount() const;
     void recordLatency(const Attempt &attempt, Duration elapsed);
-    double allowedRate() const;
     void applyRequestLimit(const Attempt &attempt, const TargetResponse &response);
     void classifyReply(Attempt &attempt, AttemptResult &result, WireReply reply);
     void onConnectionIdle(ConnectionId id);
@@ -205,9 +204,7 @@
     bool retired_ = false;
     TimePoint connectBackoffUntil_{}; // Set while the target accepts no further connections.
     unsigned consecutiveRejections_ = 0;
-    std::optional<double> requestLimit_; // Requests a second of all hosts together, as the target stated last.
-    TimePoint requestLimitAt_{};         // When it was last stated.
-    RateAllowance allowance_;            // Of this host's part; valid while requestLimit_ is set.
+    TargetRequestLimit requestLimit_;
     std::shared_ptr<int> lifetimeToken_; // Callbacks hold it weakly and do nothing once the replica is destroyed.
 };
 
--- a/tests/unit/DiscoveryTest.cpp
+++ b/tests/unit/DiscoveryTest.cpp
@@ -1,13 +1,13 @@
 /*
  * Unit tests of a host that follows the platform's store through DiscoveryController, on the manual clock.
  */
+#include "Base64.h"
 #include "discovery/DiscoveryController.h"
 #include "platform/StoreSource.h"
 #include "scenario/FakeNetwork.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
-#include <openssl/evp.h>
 
 using namespace magnoliaspan;
 using namespace magnoliaspan::testing;
@@ -16,16 +16,6 @@
 
 namespace {
 
-std::string toBase64(std::string_view bytes)
-{
-    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),        // NOLINT: the library's byte type
-                                       reinterpret_cast<const unsigned char *>(bytes.data()), // NOLINT: the library's byte type
-                                       static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(length));
-    return text;
-}
-
 /// A store that holds one key, the configuration. It ends the response to a watch once that holds a megabyte of values.
 class ConfigurationStore : public Service
 {
--- a/tests/unit/ForwardFixture.h
+++ b/tests/unit/ForwardFixture.h
@@ -79,7 +79,7 @@
     std::string id;
     Behaviour behaviour = Behaviour::Answer;
     Duration work = std::chrono::milliseconds(15);
-    std::optional<double> limit; ///< Stated in each response that is no refusal.
+    std::optional<double> limit;                             ///< Stated in each response that is no refusal.
     std::function<Behaviour(unsigned arrival)> behaviourFor; ///< Overrides behaviour for each arrival when set.
     std::function<void()> crash;                             ///< Called for Behaviour::Crash.
     unsigned arrivals = 0;
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -1,6 +1,7 @@
 /*
  * Unit tests of the platform adapter: decoding of the platform's names, and reasons given for malformed input.
  */
+#include "Base64.h"
 #include "core/Counters.h"
 #include "platform/Adapter.h"
 #include "platform/StoreSource.h"
@@ -10,7 +11,6 @@
 #include <catch2/catch.hpp>
 
 #include <fmt/format.h>
-#include <openssl/evp.h>
 #include <random>
 
 using namespace magnoliaspan;
@@ -29,16 +29,6 @@
 constexpr std::string_view target = R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","version":"v1","capacity":3,
 "state":"ready","warmup_left_ms":1200,"sequence":4,"born":1774416614097})";
 
-std::string toBase64(std::string_view bytes)
-{
-    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),        // NOLINT: the library's byte type
-                                       reinterpret_cast<const unsigned char *>(bytes.data()), // NOLINT: the library's byte type
-                                       static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(length));
-    return text;
-}
-
 /// Responds to each call with the next of its bodies, repeating the last one, and records the paths.
 class FakeStore : public Service
 {
