Do not start a queued exchange on a connection that must not be used again

A replica starts its next queued attempt from within the handler of a response, before the transport has reported that the connection ends because surplus bytes follow, the request is still being written, or a response to another request arrived. The attempt was then sent on it all the same. The exchange is now refused as not sent, which moves the attempt to another connection. Test: HTTP transport: a request that is sent at once after a response with surplus bytes is reported as not sent (red before).

--- a/src/net/HttpTransport.cpp
+++ b/src/net/HttpTransport.cpp
@@ -54,7 +54,8 @@
     {
         assert(!replyHandler_ && "exchange() called while another exchange is running on the connection");
         replyHandler_ = std::move(handler);
-        if (idleState() == IdleState::Unusable) {
+        // The handler of a response may start the next exchange before the connection is reported as closed.
+        if (!reusable_ || idleState() == IdleState::Unusable) {
             asio::post(socket_.get_executor(), [self = shared_from_this()] { self->fail(TransportError::ConnectionLost); });
             return;
         }
@@ -164,7 +165,7 @@
         }
         // The connection cannot be reused if bytes follow the response, if the request is still being written, or if a response
         // to another request arrived: more of them may follow.
-        const bool keepAlive = staysOpen && buffer_.size() == 0 && !writing_ && unaskedReplies_ == 0;
+        reusable_ = staysOpen && buffer_.size() == 0 && !writing_ && unaskedReplies_ == 0;
         bytesSent_ = false;
         const auto handler = std::move(replyHandler_);
         replyHandler_ = nullptr;
@@ -172,7 +173,7 @@
         if (closing_ || replyHandler_) {
             return;
         }
-        if (!keepAlive) {
+        if (!reusable_) {
             notifyClosed();
             return;
         }
@@ -266,6 +267,7 @@
     bool bytesSent_ = false;                         // Whether any byte of the running exchange's request may have been sent.
     std::function<bool(const WireReply &)> belongs_; // Of the running exchange; whether a reply is to its request.
     unsigned unaskedReplies_ = 0;                    // Responses to other requests than the running one, on this connection.
+    bool reusable_ = true;                           // Whether another exchange may start, as far as the last response tells.
     bool writing_ = false;                           // Whether the request is still being written.
     bool watchingForClose_ = false;
     bool closing_ = false;
--- a/tests/unit/HttpTransportTest.cpp
+++ b/tests/unit/HttpTransportTest.cpp
@@ -342,6 +342,22 @@
     CHECK(fixture.closed);
 }
 
+// Guards against a queued request that is sent on such a connection before its close is noticed.
+TEST_CASE("HTTP transport: a request that is sent at once after a response with surplus bytes is reported as not sent")
+{
+    TransportFixture fixture(29'437, {platformResponse("a", "first") + platformResponse("", "no"), platformResponse("b", "second")});
+    WireReply second;
+    fixture.connection->exchange(platformRequest("a"), [&](const WireReply &) {
+        fixture.connection->exchange(platformRequest("b"), [&](WireReply reply) {
+            second = std::move(reply);
+            fixture.loop.stop();
+        });
+    });
+    fixture.runFor(std::chrono::milliseconds(200));
+    CHECK(second.error);
+    CHECK_FALSE(second.bytesSent);
+}
+
 TEST_CASE("HTTP transport: the same request sent again on a connection gets a response to it, and bytes beyond it close the connection")
 {
     TransportFixture fixture(29'435, {platformResponse("a", "whole"), platformResponse("a", "whole") + platformResponse("a", "whole")});
