Give a new replica this host's share of a limit from its start

The share was set by the first maintenance 200 ms after the replica was made; a limit that a target stated before that was taken whole by this host. Members are initialized in the order of their declaration now, which the compiler warned about. Found while reading the change; no test, as the effect is a few requests within the half second that the rule allows.

--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -75,10 +75,11 @@
     , limits_(limits)
     , health_(environment.clock, limits.cold, entry_.coldLeft, phaseOf(environment.seed, entry_.id))
     , concurrency_(limits.connections, limits.connections)
-    , requestLimit_(phaseOf(environment.seed, entry_.id))
     , allowedConnections_(limits.otherRegion ? initialRemoteConnections : initialLocalConnections)
+    , requestLimit_(phaseOf(environment.seed, entry_.id))
     , lifetimeToken_(std::make_shared<int>(0))
 {
+    setTrafficShare(limits.trafficShare);
 }
 
 Replica::~Replica()
