--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -115,11 +115,14 @@
         onCallFailed(result.error);
         return;
     }
-    journal_.record(
-        LogCategory::Config,
-        "",
-        fmt::format(
-            "full read applied revision={} changes={} latest={}", result.revision, result.changes.size(), freshness == Freshness::Latest));
+    journal_.record(LogCategory::Config,
+                    "",
+                    fmt::format("full read applied era={} revision={} changes={} latest={} from_other_host={}",
+                                result.era,
+                                result.revision,
+                                result.changes.size(),
+                                freshness == Freshness::Latest,
+                                result.fromFallbackPeer));
     recordSourceState(result);
     registry_.apply(result, true, isInLapseGracePeriod());
     revision_ = result.revision;
@@ -158,6 +161,12 @@
     recordSourceState(result);
     registry_.apply(result, false, isInLapseGracePeriod());
     const std::int64_t before = std::exchange(revision_, std::max(revision_, result.revision));
+    if (result.fromFallbackPeer && revision_ > before) {
+        journal_.record(
+            LogCategory::Config,
+            "",
+            fmt::format("changes read from another host revision={} before={} changes={}", revision_, before, result.changes.size()));
+    }
     if (result.mayHaveMore && revision_ > before) {
         // Waiting here would limit the rate at which a host catches up, possibly below the rate of new changes.
         journal_.record(
--- a/src/discovery/DiscoverySource.h
+++ b/src/discovery/DiscoverySource.h
@@ -57,6 +57,7 @@
     std::error_code error;    ///< Set if the call failed.
     bool historyLost = false; ///< The changes since the given revision are no longer available; a full read is needed.
     std::int64_t revision = 0;
+    std::int64_t era = 0; ///< Number of the history to which the revision belongs; 0 if the source does not number its histories.
     std::vector<DiscoveryChange> changes;   ///< In the order of their publication.
     std::vector<PublishedItem> items;       ///< From which changes were decoded, if they may be relayed to other hosts.
     bool fromFallbackPeer = false;          ///< Read from another host because this one cannot reach the source.
--- a/tests/unit/ForwardTest.cpp
+++ b/tests/unit/ForwardTest.cpp
@@ -588,7 +588,9 @@
     ForwardFixture fixture;
     fixture.addTarget("t1", {"s", "here"});
     fixture.publish({ForwardFixture::route("a", ServiceDestination{"s"})});
-    fixture.discovery.publish({std::make_error_code(std::errc::timed_out), false, 0, {}, {}});
+    DiscoveryReadResult failure;
+    failure.error = std::make_error_code(std::errc::timed_out);
+    fixture.discovery.publish(failure);
     fixture.run(seconds(3));
     fixture.change({TargetRemoved{"t1"}});
     fixture.run(seconds(1));
