--- a/tests/unit/RelayTest.cpp
+++ b/tests/unit/RelayTest.cpp
@@ -61,6 +61,12 @@
         return result;
     }
 
+    /// Goes back to \p copy; the revisions after it are given out again.
+    void restore(const Publisher &copy)
+    {
+        *this = copy;
+    }
+
     std::int64_t revision = 1;
 
 private:
@@ -135,6 +141,12 @@
     void poll(std::int64_t revision, TimePoint until, const Handler &handler)
     {
         callLater(milliseconds(5), [this, revision, until, handler] {
+            if (revision > publisher_.revision && !failing) {
+                DiscoveryReadResult result;
+                result.historyLost = true;
+                handler(result);
+                return;
+            }
             const bool changed = publisher_.revision > revision && !changesSuppressed_;
             if (failing) {
                 handler(failure());
@@ -427,6 +439,33 @@
     }
 }
 
+// Guards against a host that takes a revision of a lost history from another host, and so waits for changes after one that
+// the restored source gives out again.
+TEST_CASE("relay: pattern source restored from an older copy, a change is in force within the limit at whatever time it follows")
+{
+    for (int phase = 0; phase < 16; ++phase) {
+        RelayFixture fixture;
+        const Publisher copy = fixture.publisher;
+        fixture.publisher.put("t2");
+        fixture.publisher.put("t3");
+        fixture.run(seconds(2));
+        for (const auto &host : fixture.hosts) {
+            host->direct.failing = true;
+        }
+        fixture.run(seconds(2));
+        fixture.publisher.restore(copy);
+        fixture.publisher.put("t2");
+        for (const auto &host : fixture.hosts) {
+            host->direct.failing = false;
+        }
+        fixture.run(milliseconds(1'500) + milliseconds(250) * phase);
+        fixture.publisher.put("t4");
+        fixture.run(seconds(3));
+        INFO("phase " << phase);
+        CHECK(fixture.allHaveTarget("t4"));
+    }
+}
+
 TEST_CASE("relay: a host without access to the source reads from others and does not log the source as regained")
 {
     RelayFixture fixture;
