--- a/src/app/ForwardHost.cpp
+++ b/src/app/ForwardHost.cpp
@@ -96,7 +96,7 @@
     listener.targetRemoved = [this](const std::string &id) { replicas_.onTargetRemoved(id); };
     listener.zoneChanged = [this](const std::string &zone, bool evacuated) { replicas_.onZoneChanged(zone, evacuated); };
     listener.readApplied = [this] {
-        gossip_.setRevision(mirror_.revision());
+        gossip_.setPosition(mirror_.position());
         forwardService_.readApplied();
     };
     registry_.setListener(std::move(listener));
@@ -105,7 +105,7 @@
 void ForwardHost::connectGossip()
 {
     gossip_.onSharingHostsChanged([this](unsigned hosts) { replicas_.setHostCount(hosts); });
-    gossip_.onPeerRevision([this](std::int64_t revision) { discovery_.handlePeerRevision(revision); });
+    gossip_.onPeerPosition([this](const StatePosition &position) { discovery_.handlePeerPosition(position); });
     gossip_.onCrashReport([this](const CrashReport &report) { crashGuard_.mergeFromPeer(report); });
     crashGuard_.onConfirmedLoss([this](const CrashReport &report) { gossip_.reportCrash(report); });
 }
--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -27,6 +27,8 @@
 constexpr Duration firstWatchDelay = std::chrono::milliseconds(400);
 // Without a burst, a host reaches a new revision within the delay between calls plus a slow response.
 constexpr Duration catchUpTimeout = std::chrono::seconds(2);
+// Hosts that hear of a new era read again at random times within this period, since they hear of it almost together.
+constexpr Duration newEraSpread = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -60,34 +62,53 @@
     startNextCall();
 }
 
-void DiscoveryController::handlePeerRevision(std::int64_t revision)
+void DiscoveryController::handlePeerPosition(const StatePosition &position)
 {
-    if (revision <= revision_ || peerRevisionTimer_ != TimerId::None) {
+    const bool isNewEra = hasRead_ && position.era > std::max(position_.era, newestPeerEra_);
+    newestPeerEra_ = std::max(newestPeerEra_, position.era);
+    if (isNewEra) {
+        scheduler_.cancel(peerPositionTimer_);
+        peerPositionTimer_ = TimerId::None;
+    }
+    if (position <= position_ || peerPositionTimer_ != TimerId::None) {
         return;
     }
-    peerRevisionTimer_ = scheduler_.callAt(clock_.now() + catchUpTimeout, [this, revision, token = std::weak_ptr<int>(lifetimeToken_)] {
+    const Duration wait
+        = isNewEra ? Duration(std::uniform_int_distribution<Duration::rep>(0, newEraSpread.count())(random_)) : catchUpTimeout;
+    const auto reread = [this, position, isNewEra, token = std::weak_ptr<int>(lifetimeToken_)] {
         if (!token.expired()) {
-            peerRevisionTimer_ = TimerId::None;
-            rereadIfBehind(revision);
+            peerPositionTimer_ = TimerId::None;
+            rereadIfBehind(position, isNewEra);
         }
-    });
+    };
+    peerPositionTimer_ = scheduler_.callAt(clock_.now() + wait, reread);
 }
 
-void DiscoveryController::rereadIfBehind(std::int64_t revision)
+void DiscoveryController::rereadIfBehind(const StatePosition &position, bool isNewEra)
 {
-    if (revision <= revision_) {
+    if (position <= position_) {
         return;
     }
     journal_.record(LogCategory::Config,
                     "",
-                    fmt::format("other hosts have a newer revision, reading by another path revision={} others={}", revision_, revision));
-    source_.avoidCurrentPath();
+                    fmt::format("other hosts have a newer {}, reading again era={} revision={} others_era={} others={}",
+                                position.era > position_.era ? "era" : "revision",
+                                position_.era,
+                                position_.revision,
+                                position.era,
+                                position.revision));
+    if (isNewEra) {
+        // The present path need not be at fault: its call may wait for a revision of the older era.
+        isWaitSkipped_ = true;
+    } else {
+        source_.avoidCurrentPath();
+    }
     refresh();
 }
 
-std::int64_t DiscoveryController::revision() const
+const StatePosition &DiscoveryController::position() const
 {
-    return revision_;
+    return position_;
 }
 
 void DiscoveryController::startNextCall()
@@ -118,14 +139,13 @@
     journal_.record(LogCategory::Config,
                     "",
                     fmt::format("full read applied era={} revision={} changes={} latest={} from_other_host={}",
-                                result.era,
-                                result.revision,
+                                result.position.era,
+                                result.position.revision,
                                 result.changes.size(),
                                 freshness == Freshness::Latest,
                                 result.fromFallbackPeer));
     recordSourceState(result);
-    registry_.apply(result, true, isInLapseGracePeriod());
-    revision_ = result.revision;
+    apply(result);
     needsFullRead_ = false;
     if (hasRead_) {
         startNextCall();
@@ -135,45 +155,76 @@
     scheduleNextCall(firstWatchDelay);
 }
 
+void DiscoveryController::apply(const DiscoveryReadResult &result)
+{
+    if (hasRead_ && result.position.era != position_.era) {
+        journal_.record(LogCategory::Config,
+                        "",
+                        fmt::format("source restored from an older copy era={} revision={} before_era={} before={}",
+                                    result.position.era,
+                                    result.position.revision,
+                                    position_.era,
+                                    position_.revision));
+        // What was published after the copy was made is published again, as after an outage.
+        startLapseGracePeriod();
+    }
+    registry_.apply(result, isInLapseGracePeriod());
+    position_ = result.complete ? result.position : std::max(position_, result.position);
+}
+
 void DiscoveryController::startWatch()
 {
-    source_.watch(revision_, watchTime_, [this, token = std::weak_ptr<int>(lifetimeToken_)](const DiscoveryReadResult &result) {
+    // A source in a newer era may have nothing after a revision of an older one, so it is not asked to wait for that.
+    const Duration wait = std::exchange(isWaitSkipped_, false) ? Duration::zero() : watchTime_;
+    source_.watch(position_, wait, [this, token = std::weak_ptr<int>(lifetimeToken_)](const DiscoveryReadResult &result) {
         if (!token.expired()) {
             onWatchResult(result);
         }
     });
 }
 
+void DiscoveryController::onHistoryLost(std::string_view reason)
+{
+    journal_.record(
+        LogCategory::Config, "", fmt::format("{}, starting a full read era={} revision={}", reason, position_.era, position_.revision));
+    needsFullRead_ = true;
+    startNextCall();
+}
+
 void DiscoveryController::onWatchResult(const DiscoveryReadResult &result)
 {
-    if (result.historyLost) {
-        recordSourceState(result);
-        journal_.record(
-            LogCategory::Config, "", fmt::format("change history no longer available, starting a full read revision={}", revision_));
-        needsFullRead_ = true;
-        startNextCall();
-        return;
-    }
     if (result.error) {
         onCallFailed(result.error);
         return;
     }
     recordSourceState(result);
-    registry_.apply(result, false, isInLapseGracePeriod());
-    const std::int64_t before = std::exchange(revision_, std::max(revision_, result.revision));
-    if (result.fromFallbackPeer && revision_ > before) {
-        journal_.record(
-            LogCategory::Config,
-            "",
-            fmt::format("changes read from another host revision={} before={} changes={}", revision_, before, result.changes.size()));
+    if (result.historyLost) {
+        onHistoryLost("change history no longer available");
+        return;
     }
-    if (result.mayHaveMore && revision_ > before) {
+    if (!result.complete && result.position.era != position_.era) {
+        onHistoryLost(fmt::format("changes are of era {}", result.position.era));
+        return;
+    }
+    const StatePosition before = position_;
+    apply(result);
+    if (result.fromFallbackPeer && position_ != before) {
+        journal_.record(LogCategory::Config,
+                        "",
+                        fmt::format("changes read from another host era={} revision={} before={} changes={}",
+                                    position_.era,
+                                    position_.revision,
+                                    before.revision,
+                                    result.changes.size()));
+    }
+    if (result.mayHaveMore && position_ > before) {
         // Waiting here would limit the rate at which a host catches up, possibly below the rate of new changes.
-        journal_.record(
-            LogCategory::Config,
-            "",
-            fmt::format(
-                "response may hold a part of the changes after={} revision={} changes={}", before, revision_, result.changes.size()));
+        journal_.record(LogCategory::Config,
+                        "",
+                        fmt::format("response may hold a part of the changes after={} revision={} changes={}",
+                                    before.revision,
+                                    position_.revision,
+                                    result.changes.size()));
         // The rest may hold many outdated versions too, of which a full read has only the last.
         needsFullRead_ = result.mostlyOutdated;
         startNextCall();
@@ -197,7 +248,7 @@
     if (failures_ == 0) {
         journal_.record(LogCategory::Config,
                         "",
-                        fmt::format("discovery lost, retrying with backoff revision={} error=\"{}\"", revision_, error.message()));
+                        fmt::format("discovery lost, retrying with backoff revision={} error=\"{}\"", position_.revision, error.message()));
     }
     ++failures_;
     scheduleNextCall(nextBackoff());
@@ -219,7 +270,7 @@
     if (failures_ == 0) {
         return;
     }
-    journal_.record(LogCategory::Config, "", fmt::format("discovery regained revision={} failed_calls={}", revision_, failures_));
+    journal_.record(LogCategory::Config, "", fmt::format("discovery regained revision={} failed_calls={}", position_.revision, failures_));
     failures_ = 0;
     startLapseGracePeriod();
 }
--- a/src/discovery/DiscoveryController.h
+++ b/src/discovery/DiscoveryController.h
@@ -34,12 +34,13 @@
     /// \brief Cancels the running call and starts a new one at once, for use after the process was suspended.
     void refresh();
 
-    /// \brief Handles the revision that another host has read. If this host has not reached it within two seconds, its
-    /// own read path is silent or slow, and it reads again by another path.
-    void handlePeerRevision(std::int64_t revision);
+    /// \brief Handles the position that another host has read. If this host has not reached it within two seconds, its
+    /// own read path is silent or slow, and it reads again by another path. The first notice of a newer era makes it read
+    /// at once, since a call that waits for a revision of an older era may wait for one that means something else.
+    void handlePeerPosition(const StatePosition &position);
 
-    /// \returns the revision up to which changes have been applied.
-    std::int64_t revision() const;
+    /// \returns the position up to which changes have been applied.
+    const StatePosition &position() const;
 
 private:
     void startFullRead(Freshness freshness);
@@ -51,7 +52,10 @@
     void scheduleNextCall(Duration wait);
     void recordSourceState(const DiscoveryReadResult &result);
     void startLapseGracePeriod();
-    void rereadIfBehind(std::int64_t revision);
+    void onHistoryLost(std::string_view reason);
+    void apply(const DiscoveryReadResult &result);
+    /// \param isNewEra whether this is the first notice of the era of \p position.
+    void rereadIfBehind(const StatePosition &position, bool isNewEra);
     void startNextCall();
     Duration nextBackoff();
     bool isInLapseGracePeriod() const;
@@ -64,14 +68,16 @@
     Duration watchTime_;
     unsigned batchDelayFactor_ = 0; // Consecutive calls that returned changes, up to a limit.
     std::mt19937_64 random_;
-    std::int64_t revision_ = 0;
-    bool needsFullRead_ = true; // Whether the next call must be a full read.
+    StatePosition position_;
+    std::int64_t newestPeerEra_ = 0; // Newest era that another host has named.
+    bool needsFullRead_ = true;      // Whether the next call must be a full read.
     bool hasRead_ = false;
+    bool isWaitSkipped_ = false;               // Whether the next watch must not wait for changes.
     unsigned failures_ = 0;                    // Consecutive failed calls.
     std::optional<TimePoint> lapseGraceStart_; // Start of the last grace period for lapsed entries.
     TimerId timer_ = TimerId::None;
     TimerId lapseGraceTimer_ = TimerId::None;
-    TimerId peerRevisionTimer_ = TimerId::None; // Set while another host has a higher revision.
+    TimerId peerPositionTimer_ = TimerId::None; // Set while another host has a newer position.
     std::shared_ptr<int> lifetimeToken_;        // Callbacks hold it weakly and do nothing once the controller is destroyed.
 };
 
--- a/src/discovery/DiscoverySource.h
+++ b/src/discovery/DiscoverySource.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "discovery/StatePosition.h"
 #include "discovery/TargetEntry.h"
 #include "routing/RoutingTable.h"
 
@@ -48,16 +49,16 @@
 /// \brief One value in its published encoding, for hosts that read it from this one.
 struct PublishedItem {
     std::string key;
-    std::int64_t revision = 0;          ///< Of its last change.
+    std::int64_t revision = 0;          ///< Of its last change, in the era of the result or the mirror that holds it.
     std::optional<std::string> encoded; ///< Value as encoded by the source; no value if the item was removed.
 };
 
 /// \brief The result of one call.
 struct DiscoveryReadResult {
-    std::error_code error;    ///< Set if the call failed.
-    bool historyLost = false; ///< The changes since the given revision are no longer available; a full read is needed.
-    std::int64_t revision = 0;
-    std::int64_t era = 0; ///< Number of the history to which the revision belongs; 0 if the source does not number its histories.
+    std::error_code error;                  ///< Set if the call failed.
+    bool historyLost = false;               ///< The changes since the given revision are no longer available; a full read is needed.
+    StatePosition position;                 ///< Up to which the changes are included.
+    bool complete = false;                  ///< Whether the changes are the whole state, so that whatever they don't list is not published.
     std::vector<DiscoveryChange> changes;   ///< In the order of their publication.
     std::vector<PublishedItem> items;       ///< From which changes were decoded, if they may be relayed to other hosts.
     bool fromFallbackPeer = false;          ///< Read from another host because this one cannot reach the source.
@@ -94,14 +95,17 @@
     /// \brief Reads the whole state. \p handler is called once, never before this function returns.
     virtual void readAll(Freshness freshness, Handler handler) = 0;
 
-    /// \brief Waits up to \p wait for changes after \p revision. \p handler is called as by readAll().
-    virtual void watch(std::int64_t revision, Duration wait, Handler handler) = 0;
+    /// \brief Waits up to \p wait for changes after \p after. \p handler is called as by readAll().
+    ///
+    /// A result of another era than that of \p after holds either the whole state or changes that do not follow it; after
+    /// the latter a full read is needed.
+    virtual void watch(const StatePosition &after, Duration wait, Handler handler) = 0;
 
     /// \brief Cancels the running call; its handler is not called any more.
     virtual void cancel() = 0;
 
-    /// \brief Uses another path to the published state for a while, if there is one, because other hosts have read a
-    /// higher revision than this source returned.
+    /// \brief Uses another path to the published state for a while, if there is one, because other hosts have read
+    /// further than this source returned.
     virtual void avoidCurrentPath() { }
 };
 
--- a/src/discovery/Registry.cpp
+++ b/src/discovery/Registry.cpp
@@ -19,7 +19,7 @@
     listener_ = std::move(listener);
 }
 
-void Registry::apply(const DiscoveryReadResult &result, bool complete, bool keepLapsed)
+void Registry::apply(const DiscoveryReadResult &result, bool keepLapsed)
 {
     for (const DiscoveryChange &change : result.changes) {
         std::visit(Visitor{
@@ -36,7 +36,7 @@
                    },
                    change);
     }
-    if (complete) {
+    if (result.complete) {
         removeMissing(result, keepLapsed);
     }
     if (listener_.readApplied) {
--- a/src/discovery/Registry.h
+++ b/src/discovery/Registry.h
@@ -31,10 +31,9 @@
 
     void setListener(Listener listener);
 
-    /// \brief Applies the changes of \p result.
-    /// \param complete whether \p result is the whole state, so that entries that it does not list are removed.
+    /// \brief Applies the changes of \p result; if that is complete, also removes the entries that it does not list.
     /// \param keepLapsed whether removed entries may only have lapsed, and are kept until removeLapsed().
-    void apply(const DiscoveryReadResult &result, bool complete, bool keepLapsed);
+    void apply(const DiscoveryReadResult &result, bool keepLapsed);
 
     /// \brief Removes the entries that lapsed and were not published again.
     void removeLapsed();
--- a/src/membership/GossipController.cpp
+++ b/src/membership/GossipController.cpp
@@ -192,8 +192,8 @@
             crashListener_(crash);
         }
     }
-    if (revisionListener_) {
-        revisionListener_(datagram->revision);
+    if (positionListener_) {
+        positionListener_(datagram->position);
     }
     if (datagram->type == DatagramType::Probe && table_.self().state != HostState::Left) {
         const bool countsDiffer = datagram->aliveCount != table_.aliveCount();
@@ -367,14 +367,14 @@
 
 PeerDatagram GossipController::composeDatagram(DatagramType type, const Member *to, std::size_t sample)
 {
-    // Room for the hash, the sender, the numbers, the load sample and the brackets.
-    constexpr std::size_t headerBytes = 250;
+    // Room for the hash, the sender, the numbers, the load sample, the position and the brackets.
+    constexpr std::size_t headerBytes = 275;
     constexpr std::size_t crashBytes = 45;
     PeerDatagram datagram;
     datagram.type = type;
     datagram.sender = table_.self();
     datagram.aliveCount = table_.aliveCount();
-    datagram.revision = revision_;
+    datagram.position = position_;
     datagram.crashes = crashReportQueue_.takeNext(maxCrashReportsPerDatagram, maxTransmissions(urgentTransmissions));
     std::size_t room = PeerDatagramCodec::maxBytes - headerBytes - crashBytes * datagram.crashes.size();
     const auto include = [&](const Member &member) {
@@ -464,14 +464,14 @@
     sharingHostsListener_ = std::move(listener);
 }
 
-void GossipController::setRevision(std::int64_t revision)
+void GossipController::setPosition(const StatePosition &position)
 {
-    revision_ = revision;
+    position_ = position;
 }
 
-void GossipController::onPeerRevision(std::function<void(std::int64_t)> listener)
+void GossipController::onPeerPosition(std::function<void(const StatePosition &)> listener)
 {
-    revisionListener_ = std::move(listener);
+    positionListener_ = std::move(listener);
 }
 
 const Member &GossipController::self() const
--- a/src/membership/GossipController.h
+++ b/src/membership/GossipController.h
@@ -72,12 +72,12 @@
     /// \brief Calls \p listener when the result of sharingHosts() changes.
     void onSharingHostsChanged(std::function<void(unsigned hosts)> listener);
 
-    /// \brief Sets the revision of the published state that this host has read; it is sent with every datagram.
-    void setRevision(std::int64_t revision);
+    /// \brief Sets the position up to which this host has read the published state; it is sent with every datagram.
+    void setPosition(const StatePosition &position);
 
-    /// \brief Calls \p listener with the revision in each datagram that another host sent.
-    /// \sa PeerDatagram::revision
-    void onPeerRevision(std::function<void(std::int64_t revision)> listener);
+    /// \brief Calls \p listener with the position in each datagram that another host sent.
+    /// \sa PeerDatagram::position
+    void onPeerPosition(std::function<void(const StatePosition &position)> listener);
 
     const Member &self() const;
 
@@ -148,8 +148,8 @@
     bool pushScheduled_ = false; // Invariant: at most one push is scheduled.
     std::function<void(const CrashReport &)> crashListener_;
     std::function<void(unsigned)> sharingHostsListener_;
-    std::function<void(std::int64_t)> revisionListener_;
-    std::int64_t revision_ = 0;
+    std::function<void(const StatePosition &)> positionListener_;
+    StatePosition position_;
     LoadAverage loadAverage_;
     std::uint64_t exchangeNumber_ = 0;   // Of the pending exchange; 0 if there is none.
     unsigned exchangeCount_ = 0;         // Started so far.
--- a/src/membership/PeerDatagram.cpp
+++ b/src/membership/PeerDatagram.cpp
@@ -79,7 +79,7 @@
     datagram.probeNumber = fields.at(2).get<std::uint64_t>();
     datagram.sender = memberFromJson(fields.at(3));
     datagram.aliveCount = fields.at(4).get<std::uint64_t>();
-    datagram.revision = fields.at(5).get<std::int64_t>();
+    datagram.position.revision = fields.at(5).get<std::int64_t>();
     for (const json &member : fields.at(6)) {
         datagram.members.push_back(memberFromJson(member));
     }
@@ -89,6 +89,11 @@
     if (exchangesLoad(datagram.type)) {
         datagram.load = loadFromJson(fields.at(8));
     }
+    // Hosts of an earlier release do not send an era; their position is older than any other.
+    constexpr std::size_t eraIndex = 9;
+    if (fields.size() > eraIndex) {
+        datagram.position.era = fields.at(eraIndex).get<std::int64_t>();
+    }
     return datagram;
 }
 
@@ -119,12 +124,11 @@
                                datagram.probeNumber,
                                toJson(datagram.sender),
                                datagram.aliveCount,
-                               datagram.revision,
+                               datagram.position.revision,
                                std::move(members),
                                std::move(crashes)});
-    if (datagram.load) {
-        fields.push_back({datagram.load->epoch, datagram.load->estimate});
-    }
+    fields.push_back(datagram.load ? json::array({datagram.load->epoch, datagram.load->estimate}) : json());
+    fields.push_back(datagram.position.era);
     const std::string body = fields.dump(-1, ' ', false, json::error_handler_t::replace);
     return fmt::format("{} {}", hmacSha256(key_, body).substr(0, digestDigits), body);
 }
--- a/src/membership/PeerDatagram.h
+++ b/src/membership/PeerDatagram.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "control/QuarantineController.h"
+#include "discovery/StatePosition.h"
 #include "membership/LoadAverage.h"
 #include "membership/Member.h"
 
@@ -39,7 +40,7 @@
     std::uint64_t probeNumber = 0; ///< Of a probe with a time-out or an exchange, repeated in the response to it; else 0.
     Member sender;
     std::uint64_t aliveCount = 0; ///< Number of other hosts that the sender has as alive or suspect.
-    std::int64_t revision = 0;    ///< Revision of the published state that the sender has read.
+    StatePosition position;       ///< In the history of the published state, up to which the sender has read.
     std::vector<Member> members;
     std::vector<CrashReport> crashes;
     std::optional<LoadSample> load; ///< Invariant: set if, and only if, the type is LoadExchange or LoadAnswer.
--- a/src/relay/Mirror.cpp
+++ b/src/relay/Mirror.cpp
@@ -20,18 +20,20 @@
 {
 }
 
-void Mirror::apply(const DiscoveryReadResult &result, bool complete)
+void Mirror::apply(const DiscoveryReadResult &result)
 {
     assert(!result.error && !result.historyLost && "the result of a failed read cannot be applied");
-    if (complete) {
+    assert((result.complete || result.position.era == position_.era) && "changes can only be applied to a state of their era");
+    if (result.complete) {
         items_.clear();
         tombstones_.clear();
-        historyStart_ = result.revision;
+        historyStart_ = result.position.revision;
+        position_ = result.position;
     }
     for (const PublishedItem &item : result.items) {
         applyItem(item);
     }
-    revision_ = std::max(revision_, result.revision);
+    position_ = std::max(position_, result.position);
     confirmedAt_ = clock_.now() - result.age;
     if (listener_) {
         listener_();
@@ -67,9 +69,9 @@
     return !confirmedAt_;
 }
 
-std::int64_t Mirror::revision() const
+const StatePosition &Mirror::position() const
 {
-    return revision_;
+    return position_;
 }
 
 Duration Mirror::age() const
--- a/src/relay/Mirror.h
+++ b/src/relay/Mirror.h
@@ -20,9 +20,8 @@
 public:
     explicit Mirror(const Clock &clock);
 
-    /// \brief Applies the result of a successful read.
-    /// \param complete whether \p result is the whole state and replaces all items, else only changes.
-    void apply(const DiscoveryReadResult &result, bool complete);
+    /// \brief Applies the result of a successful read: the whole state, which replaces all items, or changes of the same era.
+    void apply(const DiscoveryReadResult &result);
 
     /// \brief Calls \p listener after each call of apply().
     void onApplied(std::function<void()> listener);
@@ -30,15 +29,16 @@
     /// \returns whether no read was applied yet.
     bool empty() const;
 
-    std::int64_t revision() const;
+    /// \returns the position of the content, which goes back if the source does.
+    const StatePosition &position() const;
 
     /// \returns the time since the content was last confirmed to be the published state. Not defined while empty().
     Duration age() const;
 
     std::vector<PublishedItem> allItems() const;
 
-    /// \returns the changes after \p revision in the order of their revisions, or no value if the history does not reach
-    /// back that far.
+    /// \returns the changes after \p revision of the present era in the order of their revisions, or no value if the
+    /// history does not reach back that far.
     std::optional<std::vector<PublishedItem>> changesSince(std::int64_t revision) const;
 
 private:
@@ -49,8 +49,8 @@
     std::function<void()> listener_;
     std::map<std::string, PublishedItem> items_;       // By key.
     std::map<std::int64_t, PublishedItem> tombstones_; // Removed items by revision, so that followers receive the removals.
-    std::int64_t revision_ = 0;
-    std::int64_t historyStart_ = 0; // Invariant: every change after it is in items_ or tombstones_.
+    StatePosition position_;                           // Invariant: all revisions held are of its era.
+    std::int64_t historyStart_ = 0;                    // Invariant: every change after it is in items_ or tombstones_.
     std::optional<TimePoint> confirmedAt_;
 };
 
--- a/src/relay/RelayMessages.cpp
+++ b/src/relay/RelayMessages.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::string_view pathAll = "/published";
 constexpr std::string_view pathAfter = "/published?after=";
+constexpr std::string_view eraField = "&era=";
 constexpr std::string_view waitField = "&wait_ms=";
 
 std::optional<std::int64_t> parseNumber(std::string_view text)
@@ -58,7 +59,7 @@
         return std::string(pathAll);
     }
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(request.wait).count();
-    return fmt::format("{}{}{}{}", pathAfter, *request.after, waitField, wait);
+    return fmt::format("{}{}{}{}{}{}", pathAfter, request.after->revision, eraField, request.after->era, waitField, wait);
 }
 
 std::optional<RelayRequest> RelayCodec::decodeRequest(std::string_view target)
@@ -66,16 +67,18 @@
     if (target == pathAll) {
         return RelayRequest{};
     }
-    const auto wait = target.find(waitField);
-    if (!target.starts_with(pathAfter) || wait == std::string_view::npos) {
+    const auto eraAt = target.find(eraField);
+    const auto waitAt = target.find(waitField);
+    if (!target.starts_with(pathAfter) || waitAt == std::string_view::npos || eraAt >= waitAt) {
         return std::nullopt;
     }
-    const auto after = parseNumber(target.substr(pathAfter.size(), wait - pathAfter.size()));
-    const auto waitMs = parseNumber(target.substr(wait + waitField.size()));
-    if (!after || !waitMs) {
+    const auto revision = parseNumber(target.substr(pathAfter.size(), eraAt - pathAfter.size()));
+    const auto era = parseNumber(target.substr(eraAt + eraField.size(), waitAt - eraAt - eraField.size()));
+    const auto waitMs = parseNumber(target.substr(waitAt + waitField.size()));
+    if (!revision || !era || !waitMs) {
         return std::nullopt;
     }
-    return RelayRequest{after, std::chrono::milliseconds(*waitMs)};
+    return RelayRequest{StatePosition{*era, *revision}, std::chrono::milliseconds(*waitMs)};
 }
 
 std::string RelayCodec::sign(std::string_view text) const
@@ -93,7 +96,9 @@
         }
         items.push_back(std::move(json));
     }
-    const Json json{{"revision", result.revision},
+    const Json json{{"era", result.position.era},
+                    {"revision", result.position.revision},
+                    {"complete", result.complete},
                     {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(result.age).count()},
                     {"history_lost", result.historyLost},
                     {"unsettled", result.sourceRecentlyUnavailable},
@@ -115,7 +120,9 @@
     JsonFields fields(*json);
     DiscoveryReadResult result;
     std::int64_t age = 0;
-    fields.read("revision", result.revision);
+    fields.read("era", result.position.era);
+    fields.read("revision", result.position.revision);
+    fields.read("complete", result.complete);
     fields.read("age_ms", age);
     fields.read("history_lost", result.historyLost);
     fields.read("unsettled", result.sourceRecentlyUnavailable);
--- a/src/relay/RelayMessages.h
+++ b/src/relay/RelayMessages.h
@@ -14,8 +14,8 @@
 
 /// \brief Request for the changes after a revision, or for the whole state.
 struct RelayRequest {
-    std::optional<std::int64_t> after; ///< Revision; no value requests the whole state.
-    Duration wait{};                   ///< Time to wait for a change if there is none yet; sent in whole milliseconds.
+    std::optional<StatePosition> after; ///< No value requests the whole state.
+    Duration wait{};                    ///< Time to wait for a change if there is none yet; sent in whole milliseconds.
 };
 
 /// \brief Encodes and decodes requests and responses.
--- a/src/relay/RelayService.cpp
+++ b/src/relay/RelayService.cpp
@@ -62,13 +62,13 @@
     }
     counters_.add("magnoliaspan_relay_requests_total");
     if (!relayRequest->after) {
-        DiscoveryReadResult fullResult;
-        fullResult.items = mirror_.allItems();
-        handler(makeReply(std::move(fullResult)));
+        handler(makeReply(wholeState()));
         return {};
     }
     DiscoveryReadResult changes = changesSince(*relayRequest->after);
-    if (changes.historyLost || !changes.items.empty() || relayRequest->wait == Duration::zero()) {
+    // Waiting would keep a host of a newer era from reading elsewhere.
+    const bool isBehind = mirror_.position().era < relayRequest->after->era;
+    if (changes.historyLost || changes.complete || !changes.items.empty() || isBehind || relayRequest->wait == Duration::zero()) {
         handler(makeReply(std::move(changes)));
         return {};
     }
@@ -83,10 +83,23 @@
     };
 }
 
-DiscoveryReadResult RelayService::changesSince(std::int64_t revision) const
+DiscoveryReadResult RelayService::wholeState() const
 {
     DiscoveryReadResult result;
-    auto items = mirror_.changesSince(revision);
+    result.complete = true;
+    result.items = mirror_.allItems();
+    return result;
+}
+
+// To a host of an older era the whole state is new; one of a newer era learns only that this host is behind.
+DiscoveryReadResult RelayService::changesSince(const StatePosition &after) const
+{
+    const std::int64_t era = mirror_.position().era;
+    if (after.era != era) {
+        return after.era < era ? wholeState() : DiscoveryReadResult();
+    }
+    DiscoveryReadResult result;
+    auto items = mirror_.changesSince(after.revision);
     result.historyLost = !items;
     result.items = items ? std::move(*items) : std::vector<PublishedItem>();
     return result;
@@ -94,7 +107,7 @@
 
 ServiceReply RelayService::makeReply(DiscoveryReadResult result) const
 {
-    result.revision = mirror_.revision();
+    result.position = mirror_.position();
     result.age = mirror_.age();
     result.sourceRecentlyUnavailable = isSourceRecentlyUnavailable_();
     return {200, "text/plain", codec_.encode(result), false};
@@ -110,18 +123,18 @@
 {
     std::vector<std::uint64_t> ready;
     for (const auto &[number, poll] : longPolls_) {
-        if (mirror_.revision() > poll.after) {
+        if (mirror_.position() > poll.after || mirror_.position().era < poll.after.era) {
             ready.push_back(number);
         }
     }
-    // Most followers wait for changes after the same revision; their common response is encoded once.
-    std::map<std::int64_t, ServiceReply> replies;
+    // Most followers wait for changes after the same position; their common response is encoded once.
+    std::map<StatePosition, ServiceReply> replies;
     for (const std::uint64_t number : ready) {
         const auto poll = longPolls_.extract(number);
         if (poll.empty()) {
             continue;
         }
-        const std::int64_t after = poll.mapped().after;
+        const StatePosition after = poll.mapped().after;
         auto encoded = replies.find(after);
         if (encoded == replies.end()) {
             encoded = replies.emplace(after, makeReply(changesSince(after))).first;
--- a/src/relay/RelayService.h
+++ b/src/relay/RelayService.h
@@ -33,12 +33,13 @@
 
 private:
     struct LongPoll {
-        std::int64_t after = 0; // Revision after which a change completes the poll.
+        StatePosition after; // A change after it completes the poll.
         ReplyHandler handler;
         TimerId timer = TimerId::None;
     };
 
-    DiscoveryReadResult changesSince(std::int64_t revision) const;
+    DiscoveryReadResult wholeState() const;
+    DiscoveryReadResult changesSince(const StatePosition &after) const;
     ServiceReply makeReply(DiscoveryReadResult result) const;
     void onMirrorChanged();
     void onPollTimeout(std::uint64_t number);
--- a/src/relay/RelaySource.cpp
+++ b/src/relay/RelaySource.cpp
@@ -146,37 +146,37 @@
     readDirectly(std::nullopt, Duration::zero(), freshness, handler);
 }
 
-void RelaySource::watch(std::int64_t revision, Duration wait, Handler handler)
+void RelaySource::watch(const StatePosition &after, Duration wait, Handler handler)
 {
     if (const auto peer = mustAskAnyPeer() ? chooseAnyPeer() : std::nullopt) {
-        callAnyPeer(*peer, revision, handler);
+        callAnyPeer(*peer, after, handler);
         return;
     }
     const auto peer = isSourceUnreachable() ? std::nullopt : chooseReader();
     if (!peer) {
-        readDirectly(revision, wait, Freshness::Latest, handler);
+        readDirectly(after, wait, Freshness::Latest, handler);
         return;
     }
     path_ = Path::Reader;
     pathAvoided_ = false;
-    callPeer(*peer, {revision, relayWatchTime}, [this, peer, revision, wait, handler](std::optional<DiscoveryReadResult> result) {
-        if (!result || result->age > watchTime_ + ageSlack || result->revision < revision) {
+    callPeer(*peer, {after, relayWatchTime}, [this, peer, after, wait, handler](std::optional<DiscoveryReadResult> result) {
+        if (!result || result->age > watchTime_ + ageSlack || result->position < after) {
             avoidPeer(*peer, result ? "state too old" : "no valid response");
-            readDirectly(revision, wait, Freshness::Latest, handler);
+            readDirectly(after, wait, Freshness::Latest, handler);
             return;
         }
-        deliver(*result, false, handler);
+        deliver(*result, handler);
     });
 }
 
-void RelaySource::callAnyPeer(const Peer &peer, const std::optional<std::int64_t> &after, const Handler &handler)
+void RelaySource::callAnyPeer(const Peer &peer, const std::optional<StatePosition> &after, const Handler &handler)
 {
     path_ = Path::AnyPeer;
     pathAvoided_ = false;
     callPeer(peer, {after, Duration::zero()}, [this, peer, after, handler](std::optional<DiscoveryReadResult> result) {
         // A full state from a host that is itself behind would go back to targets that have left.
-        const std::int64_t known = std::max(after.value_or(0), environment_.mirror.revision());
-        if (!result || result->revision < known) {
+        const StatePosition known = std::max(after.value_or(StatePosition()), environment_.mirror.position());
+        if (!result || result->position < known) {
             avoidPeer(peer, result ? "state too old" : "no valid response");
             DiscoveryReadResult failure;
             failure.error = TransportError::MalformedReply;
@@ -184,7 +184,7 @@
             return;
         }
         result->fromFallbackPeer = true;
-        deliver(*result, !after, handler);
+        deliver(*result, handler);
     });
 }
 
@@ -205,7 +205,7 @@
                      });
 }
 
-void RelaySource::readDirectly(const std::optional<std::int64_t> &after, Duration wait, Freshness freshness, const Handler &handler)
+void RelaySource::readDirectly(const std::optional<StatePosition> &after, Duration wait, Freshness freshness, const Handler &handler)
 {
     path_ = Path::Source;
     pathAvoided_ = false;
@@ -219,7 +219,7 @@
     }
 }
 
-void RelaySource::onDirectResult(const DiscoveryReadResult &result, const std::optional<std::int64_t> &after, const Handler &handler)
+void RelaySource::onDirectResult(const DiscoveryReadResult &result, const std::optional<StatePosition> &after, const Handler &handler)
 {
     if (result.error) {
         ++directFailures_;
@@ -234,16 +234,18 @@
             return;
         }
     }
-    deliver(result, !after, handler);
+    deliver(result, handler);
 }
 
-void RelaySource::deliver(const DiscoveryReadResult &result, bool complete, const Handler &handler)
+void RelaySource::deliver(const DiscoveryReadResult &result, const Handler &handler)
 {
-    if (result.sourceRecentlyUnavailable) {
+    const bool hasContent = !result.error && !result.historyLost;
+    const bool isOtherEra = hasContent && !environment_.mirror.empty() && result.position.era != environment_.mirror.position().era;
+    if (result.sourceRecentlyUnavailable || isOtherEra) {
         lastUnavailableAt_ = environment_.clock.now();
     }
-    if (!result.error && !result.historyLost) {
-        environment_.mirror.apply(result, complete);
+    if (hasContent && (result.complete || !isOtherEra)) {
+        environment_.mirror.apply(result);
     }
     handler(result);
 }
--- a/src/relay/RelaySource.h
+++ b/src/relay/RelaySource.h
@@ -48,7 +48,7 @@
     ~RelaySource() override;
 
     void readAll(Freshness freshness, Handler handler) override;
-    void watch(std::int64_t revision, Duration wait, Handler handler) override;
+    void watch(const StatePosition &after, Duration wait, Handler handler) override;
     void cancel() override;
     void avoidCurrentPath() override;
 
@@ -74,11 +74,11 @@
     std::optional<Peer> chooseReader();
     std::optional<Peer> chooseAnyPeer();
     bool isUsable(const Member &member) const;
-    void readDirectly(const std::optional<std::int64_t> &after, Duration wait, Freshness freshness, const Handler &handler);
-    void onDirectResult(const DiscoveryReadResult &result, const std::optional<std::int64_t> &after, const Handler &handler);
+    void readDirectly(const std::optional<StatePosition> &after, Duration wait, Freshness freshness, const Handler &handler);
+    void onDirectResult(const DiscoveryReadResult &result, const std::optional<StatePosition> &after, const Handler &handler);
     void callPeer(const Peer &peer, const RelayRequest &request, std::function<void(std::optional<DiscoveryReadResult>)> handler);
-    void deliver(const DiscoveryReadResult &result, bool complete, const Handler &handler);
-    void callAnyPeer(const Peer &peer, const std::optional<std::int64_t> &after, const Handler &handler);
+    void deliver(const DiscoveryReadResult &result, const Handler &handler);
+    void callAnyPeer(const Peer &peer, const std::optional<StatePosition> &after, const Handler &handler);
     void avoidPeer(const Peer &peer, std::string_view reason);
 
     RelayEnvironment environment_;
@@ -90,7 +90,7 @@
     TimePoint directUntil_{};                       // No reader is used before this time.
     unsigned directFailures_ = 0;                   // Consecutive failures of own calls to the source.
     Path path_ = Path::Source;
-    bool pathAvoided_ = false; // Whether the last call was given up because other hosts have a higher revision.
+    bool pathAvoided_ = false; // Whether the last call was given up because other hosts have a newer position.
     std::optional<TimePoint> lastUnavailableAt_;
 };
 
--- a/tests/unit/ForwardFixture.cpp
+++ b/tests/unit/ForwardFixture.cpp
@@ -86,13 +86,15 @@
 void ScriptedDiscovery::readAll(Freshness freshness, Handler handler)
 {
     calls.emplace_back(freshness == Freshness::Latest ? "all latest" : "all old");
+    isFullRead_ = true;
     waiting_ = std::move(handler);
     deliverNext();
 }
 
-void ScriptedDiscovery::watch(std::int64_t revision, Duration, Handler handler)
+void ScriptedDiscovery::watch(const StatePosition &after, Duration, Handler handler)
 {
-    calls.push_back(fmt::format("watch {}", revision));
+    calls.push_back(fmt::format("watch {}", after.revision));
+    isFullRead_ = false;
     waiting_ = std::move(handler);
     deliverNext();
 }
@@ -119,8 +121,9 @@
         }
         const auto handler = std::move(waiting_);
         waiting_ = nullptr;
-        const DiscoveryReadResult reading = std::move(readings_.front());
+        DiscoveryReadResult reading = std::move(readings_.front());
         readings_.pop_front();
+        reading.complete = isFullRead_;
         handler(reading);
     });
 }
@@ -293,7 +296,7 @@
         reading.changes.emplace_back(TargetPublished{entry});
     }
     reading.changes.emplace_back(TablePublished{std::make_shared<RoutingTable>(version, std::move(routes), services, ListenerLimits{})});
-    reading.revision = ++revision_;
+    reading.position.revision = ++revision_;
     discovery.publish(std::move(reading));
     run(std::chrono::milliseconds(400));
 }
@@ -302,7 +305,7 @@
 {
     DiscoveryReadResult reading;
     reading.changes = std::move(changes);
-    reading.revision = ++revision_;
+    reading.position.revision = ++revision_;
     discovery.publish(std::move(reading));
     run(std::chrono::milliseconds(1));
 }
--- a/tests/unit/ForwardFixture.h
+++ b/tests/unit/ForwardFixture.h
@@ -33,7 +33,7 @@
     explicit ScriptedDiscovery(Scheduler &scheduler, const Clock &clock);
 
     void readAll(Freshness freshness, Handler handler) override;
-    void watch(std::int64_t revision, Duration wait, Handler handler) override;
+    void watch(const StatePosition &after, Duration wait, Handler handler) override;
     void cancel() override;
 
     /// Completes the running or next call of either kind with \p reading.
@@ -47,6 +47,7 @@
     Scheduler &scheduler_;
     const Clock &clock_;
     Handler waiting_;
+    bool isFullRead_ = false; // Whether the waiting call reads the whole state.
     std::deque<DiscoveryReadResult> readings_;
 };
 
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -39,6 +39,9 @@
         ServiceReply reply;
         reply.status = status;
         reply.body = answers.at(std::min(paths.size(), answers.size()) - 1);
+        if (!eras.empty()) {
+            reply.headers.push_back({"store-era", eras.at(std::min(paths.size(), eras.size()) - 1)});
+        }
         handler(reply);
         return {};
     }
@@ -46,6 +49,7 @@
     unsigned status = 200;
     std::vector<std::string> paths;
     std::vector<std::string> answers;
+    std::vector<std::string> eras; ///< Of the responses, as answers; none has an era if empty.
 };
 
 struct StoreFixture {
@@ -61,7 +65,7 @@
     DiscoveryReadResult readAll(Freshness freshness = Freshness::Latest)
     {
         DiscoveryReadResult result;
-        result.revision = -1;
+        result.position.revision = -1;
         source.readAll(freshness, [&result](const DiscoveryReadResult &readResult) { result = readResult; });
         time.runUntil(time.now() + std::chrono::seconds(3));
         return result;
@@ -156,7 +160,7 @@
         R"({"items":[{"key":"servers/i-2","value":"!!","rev":3}],"truncated":false,"store_revision":12})"};
     const DiscoveryReadResult readResult = fixture.readAll(Freshness::StaleAllowed);
     CHECK_FALSE(readResult.error);
-    CHECK(readResult.revision == 9);
+    CHECK(readResult.position.revision == 9);
     REQUIRE(readResult.changes.size() == 2);
     CHECK(std::get<TargetPublished>(readResult.changes[0]).entry.id == "i-1");
     CHECK(std::holds_alternative<DecodeFailure>(readResult.changes[1]));
@@ -165,6 +169,49 @@
     CHECK(fixture.store.paths[1].find("after=servers/i-1") != std::string::npos);
 }
 
+// Guards against changes of a restored store that are taken for those that follow the revision of a lost history.
+TEST_CASE("platform: responses name the era of their revision")
+{
+    StoreFixture fixture;
+    fixture.store.answers = {R"({"items":[],"truncated":false,"store_revision":9})"};
+    CHECK(fixture.readAll().position == StatePosition{0, 9});
+    fixture.store.eras = {"3"};
+    const DiscoveryReadResult full = fixture.readAll();
+    CHECK(full.position == StatePosition{3, 9});
+    CHECK(full.complete);
+    fixture.store.answers = {R"({"events":[],"store_revision":10})"};
+    DiscoveryReadResult changes;
+    fixture.source.watch({2, 9}, std::chrono::seconds(1), [&changes](const DiscoveryReadResult &result) { changes = result; });
+    fixture.time.runUntil(fixture.time.now() + std::chrono::seconds(1));
+    CHECK(changes.position == StatePosition{3, 10});
+    CHECK_FALSE(changes.complete);
+}
+
+TEST_CASE("platform: a malformed era is an error, and so is a missing one after others")
+{
+    StoreFixture fixture;
+    fixture.store.answers = {R"({"items":[],"truncated":false,"store_revision":9})"};
+    for (const char *era : {"", "x", "-1", "1.5", "2 ", "99999999999999999999"}) {
+        fixture.store.eras = {era};
+        CHECK(fixture.readAll().error);
+    }
+    fixture.store.eras = {"2"};
+    CHECK_FALSE(fixture.readAll().error);
+    fixture.store.eras = {};
+    CHECK(fixture.readAll().error);
+}
+
+// Guards against a state that mixes two histories, of which neither was ever published.
+TEST_CASE("platform: a full read whose pages are of two eras fails")
+{
+    StoreFixture fixture;
+    fixture.store.answers = {
+        fmt::format(R"({{"items":[{{"key":"servers/i-1","value":"{}","rev":3}}],"truncated":true,"store_revision":9}})", toBase64(target)),
+        R"({"items":[],"truncated":false,"store_revision":12})"};
+    fixture.store.eras = {"1", "2"};
+    CHECK(fixture.readAll().error);
+}
+
 // Guards against the cost of decoding each of many large versions, which held up callers while a host caught up.
 TEST_CASE("platform: of several events for a key in one response only the last is decoded")
 {
@@ -179,10 +226,10 @@
                        toBase64(target),
                        toBase64(newer))};
     DiscoveryReadResult result;
-    fixture.source.watch(2, std::chrono::seconds(1), [&result](const DiscoveryReadResult &readResult) { result = readResult; });
+    fixture.source.watch({0, 2}, std::chrono::seconds(1), [&result](const DiscoveryReadResult &readResult) { result = readResult; });
     fixture.time.runUntil(fixture.time.now() + std::chrono::seconds(1));
     CHECK_FALSE(result.error);
-    CHECK(result.revision == 6);
+    CHECK(result.position.revision == 6);
     CHECK(result.items.size() == 2);
     REQUIRE(result.changes.size() == 3);
     CHECK(std::get<TablePublished>(result.changes[0]).table->version() == 9);
@@ -201,7 +248,8 @@
     CHECK(fixture.readAll().error);
     fixture.store.status = 410;
     bool lost = false;
-    fixture.source.watch(5, std::chrono::seconds(1), [&lost](const DiscoveryReadResult &readResult) { lost = readResult.historyLost; });
+    fixture.source.watch(
+        {0, 5}, std::chrono::seconds(1), [&lost](const DiscoveryReadResult &readResult) { lost = readResult.historyLost; });
     fixture.time.runUntil(fixture.time.now() + std::chrono::seconds(1));
     CHECK(lost);
     fixture.network.link("host", "store").cut = true;
--- a/tests/unit/RelayTest.cpp
+++ b/tests/unit/RelayTest.cpp
@@ -51,7 +51,8 @@
     DiscoveryReadResult since(std::int64_t after) const
     {
         DiscoveryReadResult result;
-        result.revision = revision;
+        result.position = {era, revision};
+        result.complete = after == 0;
         for (const auto &[key, item] : items_) {
             if (item.revision > after && (after > 0 || item.encoded)) {
                 result.items.push_back(item);
@@ -61,12 +62,15 @@
         return result;
     }
 
-    /// Goes back to \p copy; the revisions after it are given out again.
+    /// Goes back to \p copy, as a new era; the revisions after it are given out again.
     void restore(const Publisher &copy)
     {
+        const std::int64_t before = era;
         *this = copy;
+        era = before + 1;
     }
 
+    std::int64_t era = 1;
     std::int64_t revision = 1;
 
 private:
@@ -93,7 +97,7 @@
         callLater(milliseconds(5), [this, handler] { handler(failing ? failure() : publisher_.since(0)); });
     }
 
-    void watch(std::int64_t revision, Duration wait, Handler handler) override
+    void watch(const StatePosition &after, Duration wait, Handler handler) override
     {
         ++calls;
         changesSuppressed_ = false;
@@ -101,7 +105,7 @@
             callLater(wait + responseTimeout, [handler] { handler(failure(TransportError::Silent)); });
             return;
         }
-        poll(revision, time_.now() + wait, handler);
+        poll(after.revision, time_.now() + wait, handler);
     }
 
     void cancel() override
@@ -152,7 +156,7 @@
                 handler(failure());
             } else if (changed || time_.now() >= until) {
                 DiscoveryReadResult result = changed ? publisher_.since(revision) : DiscoveryReadResult();
-                result.revision = changed ? result.revision : revision;
+                result.position = {publisher_.era, changed ? result.position.revision : revision};
                 handler(result);
             } else {
                 poll(revision, until, handler);
@@ -192,11 +196,11 @@
         node.zone = "z";
         network.place(address(number).toString(), node);
         Registry::Listener listener;
-        listener.readApplied = [this] { gossip.setRevision(mirror.revision()); };
+        listener.readApplied = [this] { gossip.setPosition(mirror.position()); };
         listener.targetChanged = [](const TargetEntry &) {};
         listener.targetRemoved = [](const std::string &) {};
         registry.setListener(std::move(listener));
-        gossip.onPeerRevision([this](std::int64_t revision) { controller.handlePeerRevision(revision); });
+        gossip.onPeerPosition([this](const StatePosition &position) { controller.handlePeerPosition(position); });
         gossip.start();
         controller.start();
     }
@@ -423,9 +427,9 @@
     fixture.run(seconds(8));
     RelayHost &ahead = *fixture.hosts.front();
     DiscoveryReadResult newer;
-    newer.revision = fixture.publisher.revision + 5;
-    newer.items = {{"t9", newer.revision, "s"}};
-    ahead.mirror.apply(newer, false);
+    newer.position = {fixture.publisher.era, fixture.publisher.revision + 5};
+    newer.items = {{"t9", newer.position.revision, "s"}};
+    ahead.mirror.apply(newer);
     // Calls go to the source and to other hosts by turns.
     for (int call = 0; call < 4; ++call) {
         ahead.source.cancel();
@@ -434,7 +438,7 @@
         fixture.run(seconds(1));
         REQUIRE(result);
         // Another host may have read the newer state from this one meanwhile.
-        CHECK((result->error || result->revision >= newer.revision));
+        CHECK((result->error || result->position >= newer.position));
         CHECK(ahead.mirror.allItems().size() == 2);
     }
 }
@@ -466,6 +470,104 @@
     }
 }
 
+// Guards against a call that waits for changes after a revision that exists again and means something else.
+TEST_CASE("relay: a host that heard nothing of a restore has the new era's state within three seconds, though its revision exists again")
+{
+    for (const bool isReader : {true, false}) {
+        RelayFixture fixture;
+        const Publisher copy = fixture.publisher;
+        fixture.publisher.put("t2");
+        fixture.run(seconds(2));
+        RelayHost &host = isReader ? *fixture.readers.front() : *fixture.followers.front();
+        // Wait until a watch of a reader has just started, which would otherwise run for almost five seconds.
+        const unsigned callsBefore = fixture.readers.front()->direct.calls;
+        while (fixture.readers.front()->direct.calls == callsBefore) {
+            fixture.run(milliseconds(10));
+        }
+        fixture.publisher.restore(copy);
+        fixture.publisher.put("t3");
+        fixture.readers.front()->direct.suppressChanges();
+        REQUIRE(host.mirror.position() == StatePosition{1, fixture.publisher.revision});
+        // The calls of the other readers are cut by the restore.
+        fixture.readers[1]->direct.failing = true;
+        fixture.readers[2]->direct.failing = true;
+        fixture.run(milliseconds(50));
+        fixture.readers[1]->direct.failing = false;
+        fixture.readers[2]->direct.failing = false;
+        fixture.run(seconds(3));
+        INFO("reader " << isReader);
+        CHECK(host.hasTarget("t3"));
+        CHECK(host.mirror.position().era == 2);
+        CHECK(fixture.allHaveTarget("t3"));
+    }
+}
+
+// Guards against hosts that read again for as long as one host keeps a state of a lost history.
+TEST_CASE("relay: positions of an older era, however high, cause no calls")
+{
+    RelayFixture fixture;
+    const Publisher copy = fixture.publisher;
+    for (int change = 0; change < 50; ++change) {
+        fixture.publisher.put("t2");
+    }
+    fixture.run(seconds(2));
+    const StatePosition old = fixture.hosts.front()->mirror.position();
+    fixture.publisher.restore(copy);
+    for (const auto &host : fixture.hosts) {
+        host->controller.refresh();
+    }
+    fixture.run(seconds(10));
+    std::vector<unsigned> lines;
+    for (const auto &host : fixture.hosts) {
+        CHECK(host->mirror.position().era == 2);
+        lines.push_back(host->direct.calls);
+    }
+    for (int round = 0; round < 100; ++round) {
+        for (const auto &host : fixture.hosts) {
+            host->controller.handlePeerPosition(old);
+        }
+        fixture.run(milliseconds(100));
+    }
+    // Without changes a reader calls every five seconds.
+    constexpr unsigned idleCalls = 3;
+    for (std::size_t number = 0; number < lines.size(); ++number) {
+        CHECK(fixture.hosts[number]->direct.calls <= lines[number] + idleCalls);
+    }
+}
+
+TEST_CASE("relay: a host of an older era gets the whole state, and one of a newer era no changes")
+{
+    ManualTime time;
+    ProcessTime process(time, {});
+    Counters counters;
+    Mirror mirror(process);
+    RelayService service(process, process, counters, mirror, "key", [] { return false; });
+    DiscoveryReadResult state;
+    state.position = {2, 5};
+    state.complete = true;
+    state.items = {{"a", 3, "x"}, {"b", 5, "y"}};
+    mirror.apply(state);
+    const RelayCodec codec("key");
+    const auto ask = [&](const StatePosition &after) {
+        ServiceRequest request;
+        request.target = RelayCodec::encode({after, seconds(1)});
+        request.authorization = codec.sign(request.target);
+        std::optional<DiscoveryReadResult> result;
+        service.handle(request, [&](const ServiceReply &reply) { result = codec.decode(reply.body, TargetDecoder()); });
+        return result;
+    };
+    REQUIRE(ask({1, 9}));
+    CHECK(ask({1, 9})->complete);
+    CHECK(ask({1, 9})->items.size() == 2);
+    REQUIRE(ask({3, 1}));
+    CHECK_FALSE(ask({3, 1})->complete);
+    CHECK(ask({3, 1})->items.empty());
+    CHECK(ask({3, 1})->position == StatePosition{2, 5});
+    CHECK(ask({2, 4})->historyLost);
+    CHECK_FALSE(ask({2, 5}));
+    time.runUntil(time.now() + seconds(2));
+}
+
 TEST_CASE("relay: a host without access to the source reads from others and does not log the source as regained")
 {
     RelayFixture fixture;
@@ -492,8 +594,7 @@
     fixture.run(milliseconds(50));
     for (const auto &host : fixture.hosts) {
         if (host.get() != &isolated) {
-            DiscoveryReadResult fullResult = fixture.publisher.since(0);
-            host->mirror.apply(fullResult, true);
+            host->mirror.apply(fixture.publisher.since(0));
         }
     }
     fixture.run(seconds(10));
@@ -537,14 +638,16 @@
     Mirror mirror(time);
     CHECK(mirror.empty());
     DiscoveryReadResult result;
-    result.revision = 5;
+    result.position = {1, 5};
+    result.complete = true;
     result.items = {{"a", 3, "x"}, {"b", 5, "y"}};
-    mirror.apply(result, true);
+    mirror.apply(result);
     CHECK_FALSE(mirror.changesSince(4));
     CHECK(mirror.changesSince(5)->empty());
-    result.revision = 7;
+    result.position = {1, 7};
+    result.complete = false;
     result.items = {{"a", 6, std::nullopt}, {"b", 7, "z"}};
-    mirror.apply(result, false);
+    mirror.apply(result);
     REQUIRE(mirror.changesSince(5)->size() == 2);
     CHECK(mirror.changesSince(5)->front().key == "a");
     CHECK(mirror.changesSince(6)->size() == 1);
@@ -558,7 +661,8 @@
     const RelayCodec codec("key");
     const TargetDecoder decoder;
     DiscoveryReadResult result;
-    result.revision = 5;
+    result.position = {2, 5};
+    result.complete = true;
     result.sourceRecentlyUnavailable = true;
     result.age = milliseconds(300);
     result.items = {{"a", 3, "x"}, {"b", 5, std::nullopt}};
@@ -566,6 +670,8 @@
     const auto read = codec.decode(text, decoder);
     REQUIRE(read);
     CHECK(read->changes.size() == 2);
+    CHECK(read->position == result.position);
+    CHECK(read->complete);
     CHECK(read->sourceRecentlyUnavailable);
     CHECK(read->age == milliseconds(300));
     CHECK_FALSE(read->items.at(1).encoded);
@@ -577,9 +683,19 @@
         CHECK_FALSE(codec.decode(text.substr(0, at), decoder));
     }
     CHECK(RelayCodec::decodeRequest("/published")->after == std::nullopt);
-    CHECK(RelayCodec::decodeRequest(RelayCodec::encode({7, seconds(2)}))->wait == seconds(2));
-    for (const char *bad :
-         {"", "/", "/published?after=", "/published?after=x&wait_ms=1", "/published?after=1&wait_ms=-1", "/published?after=1"}) {
+    const auto request = RelayCodec::decodeRequest(RelayCodec::encode({StatePosition{3, 7}, seconds(2)}));
+    CHECK(request->wait == seconds(2));
+    CHECK(request->after == StatePosition{3, 7});
+    for (const char *bad : {"",
+                            "/",
+                            "/published?after=",
+                            "/published?after=x&era=1&wait_ms=1",
+                            "/published?after=1&era=1&wait_ms=-1",
+                            "/published?after=1&era=1",
+                            "/published?after=1&wait_ms=1",
+                            "/published?after=1&wait_ms=1&era=1",
+                            "/published?after=1&era=-1&wait_ms=1",
+                            "/published?after=1&era=&wait_ms=1"}) {
         CHECK_FALSE(RelayCodec::decodeRequest(bad));
     }
 }
@@ -599,7 +715,7 @@
 {
     const RelayCodec codec("key");
     DiscoveryReadResult result;
-    result.revision = 5;
+    result.position = {2, 5};
     result.items = {{"a", 3, "x"}, {"b", 5, std::nullopt}};
     const std::string text = codec.encode(result);
     const std::string body = text.substr(text.find(' ') + 1);
