Keep what is known to be newer than the copy that a source was restored from

What callers would see: requests sent to targets that had left or were about to (DRAIN), or into an evacuated zone (EVAC), for as long as the copy is not written over; targets that registered since the copy dropped at once. Cause: a full read replaced all entries, as the source's latest word, though after a restore it is an older one than the last. Change: after a read of another era the registry ignores entries with a lower write number of the same start, and listed starts that had left in an earlier era; missing entries lapse; evacuations and their ends stay until the grace period for lapsed entries ends.

--- a/src/discovery/Registry.cpp
+++ b/src/discovery/Registry.cpp
@@ -6,6 +6,7 @@
 #include "core/Visitor.h"
 
 #include <fmt/format.h>
+#include <utility>
 
 namespace magnoliaspan {
 
@@ -21,12 +22,14 @@
 
 void Registry::apply(const DiscoveryReadResult &result, bool keepLapsed)
 {
+    isSettling_ = isSettling_ || (era_ && *era_ != result.position.era);
+    era_ = result.position.era;
     for (const DiscoveryChange &change : result.changes) {
         std::visit(Visitor{
                        [this](const TablePublished &published) { applyTable(published.table); },
-                       [this](const TargetPublished &published) { applyTarget(published.entry); },
+                       [&](const TargetPublished &published) { applyTarget(published.entry, result.complete); },
                        [this, keepLapsed](const TargetRemoved &removed) { removeTarget(removed.id, keepLapsed); },
-                       [this](const ZoneEvacuation &zone) { setEvacuated(zone.zone, zone.evacuated); },
+                       [&](const ZoneEvacuation &zone) { applyEvacuation(zone, result.complete); },
                        [this](const DecodeFailure &failure) {
                            journal_.record(
                                LogCategory::Config,
@@ -67,7 +70,7 @@
     const auto evacuatedBefore = evacuatedZones_;
     for (const std::string &zone : evacuatedBefore) {
         if (!listedZones.contains(zone)) {
-            setEvacuated(zone, false);
+            applyEvacuation({zone, false}, true);
         }
     }
 }
@@ -90,16 +93,44 @@
     }
 }
 
-void Registry::applyTarget(const TargetEntry &entry)
+bool Registry::isOutdated(const TargetEntry &entry, bool isListed) const
 {
+    const auto found = targets_.find(entry.id);
+    if (found != targets_.end() && found->second.startedAt == entry.startedAt) {
+        return entry.writeNumber && found->second.writeNumber && *entry.writeNumber < *found->second.writeNumber;
+    }
+    // A change is newer than any copy.
+    return isListed && departedTargets_.hasLeft(entry, *era_);
+}
+
+void Registry::applyTarget(const TargetEntry &entry, bool isListed)
+{
+    if (isOutdated(entry, isListed)) {
+        journal_.record(LogCategory::Member,
+                        "",
+                        fmt::format("outdated target entry ignored target={} started={} stage={}",
+                                    entry.id,
+                                    entry.startedAt,
+                                    entry.stage == TargetStage::Ready ? "ready" : "draining"));
+        return;
+    }
     const auto found = targets_.find(entry.id);
     const bool wasLapsed = lapsedTargets_.erase(entry.id) > 0;
-    if (found != targets_.end() && found->second == entry) {
-        if (wasLapsed) {
-            journal_.record(LogCategory::Member, "", fmt::format("lapsed target entry published again target={}", entry.id));
+    if (found != targets_.end()) {
+        TargetEntry known = found->second;
+        if (known.startedAt != entry.startedAt) {
+            departedTargets_.record(known, *era_);
+        }
+        known.writeNumber = entry.writeNumber;
+        if (known == entry) {
+            found->second.writeNumber = entry.writeNumber;
+            if (wasLapsed) {
+                journal_.record(LogCategory::Member, "", fmt::format("lapsed target entry published again target={}", entry.id));
+            }
+            return;
         }
-        return;
     }
+    departedTargets_.forget(entry);
     targets_.insert_or_assign(entry.id, entry);
     journal_.record(LogCategory::Member,
                     "",
@@ -128,6 +159,7 @@
         return;
     }
     lapsedTargets_.erase(id);
+    departedTargets_.record(targets_.at(id), *era_);
     targets_.erase(id);
     journal_.record(LogCategory::Member, "", fmt::format("target entry removed target={}", id));
     if (listener_.targetRemoved) {
@@ -141,6 +173,29 @@
     for (const std::string &id : lapsed) {
         removeTarget(id, false);
     }
+    isSettling_ = false;
+    const auto unsettled = std::exchange(unsettledZones_, {});
+    for (const auto &[zone, evacuated] : unsettled) {
+        setEvacuated(zone, evacuated);
+    }
+}
+
+void Registry::applyEvacuation(const ZoneEvacuation &zone, bool isListed)
+{
+    const bool isKnown = isEvacuated(zone.zone) || endedEvacuations_.contains(zone.zone);
+    const bool isContrary = isEvacuated(zone.zone) != zone.evacuated;
+    if (isListed && isSettling_ && isKnown && isContrary) {
+        if (unsettledZones_.insert_or_assign(zone.zone, zone.evacuated).second) {
+            journal_.record(LogCategory::Zone,
+                            "",
+                            fmt::format("restored source contradicts what is known of a zone, kept for now zone={} evacuated={}",
+                                        zone.zone,
+                                        isEvacuated(zone.zone)));
+        }
+        return;
+    }
+    unsettledZones_.erase(zone.zone);
+    setEvacuated(zone.zone, zone.evacuated);
 }
 
 void Registry::setEvacuated(const std::string &zone, bool evacuated)
@@ -149,6 +204,11 @@
     if (!changed) {
         return;
     }
+    if (evacuated) {
+        endedEvacuations_.erase(zone);
+    } else {
+        endedEvacuations_.insert(zone);
+    }
     journal_.record(LogCategory::Zone, "", fmt::format("zone {} zone={}", evacuated ? "evacuated" : "evacuation cancelled", zone));
     if (listener_.zoneChanged) {
         listener_.zoneChanged(zone, evacuated);
--- a/src/discovery/Registry.h
+++ b/src/discovery/Registry.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/Journal.h"
+#include "discovery/DepartedTargets.h"
 #include "discovery/DiscoverySource.h"
 
 #include <functional>
@@ -32,10 +33,14 @@
     void setListener(Listener listener);
 
     /// \brief Applies the changes of \p result; if that is complete, also removes the entries that it does not list.
+    ///
+    /// The first complete result of another era is an older copy of the published state. What is known to be newer stays:
+    /// entries of targets that have written since, departures, and, until removeLapsed(), evacuations and their ends, as
+    /// these are published again soon.
     /// \param keepLapsed whether removed entries may only have lapsed, and are kept until removeLapsed().
     void apply(const DiscoveryReadResult &result, bool keepLapsed);
 
-    /// \brief Removes the entries that lapsed and were not published again.
+    /// \brief Removes the entries that lapsed and were not published again, and goes by the published evacuations.
     void removeLapsed();
 
     /// \returns the table in force, null before the first one.
@@ -46,7 +51,9 @@
 
 private:
     void applyTable(const RoutingTablePtr &table);
-    void applyTarget(const TargetEntry &entry);
+    void applyTarget(const TargetEntry &entry, bool isListed);
+    bool isOutdated(const TargetEntry &entry, bool isListed) const;
+    void applyEvacuation(const ZoneEvacuation &zone, bool isListed);
     void removeTarget(const std::string &id, bool keepLapsed);
     void setEvacuated(const std::string &zone, bool evacuated);
     void removeMissing(const DiscoveryReadResult &result, bool keepLapsed);
@@ -57,6 +64,11 @@
     std::map<std::string, TargetEntry, std::less<>> targets_;
     std::set<std::string, std::less<>> evacuatedZones_;
     std::set<std::string, std::less<>> lapsedTargets_; // Invariant: each is in targets_.
+    std::optional<std::int64_t> era_;                  // Of the last result; no value before the first.
+    bool isSettling_ = false;                          // Whether the source was restored and what it lacks may not be published again yet.
+    DepartedTargets departedTargets_;
+    std::set<std::string, std::less<>> endedEvacuations_;     // Zones whose evacuation was cancelled.
+    std::map<std::string, bool, std::less<>> unsettledZones_; // Whether evacuated by the copy, where this host knows otherwise.
 };
 
 } // namespace magnoliaspan
--- a/src/discovery/TargetEntry.h
+++ b/src/discovery/TargetEntry.h
@@ -7,6 +7,7 @@
 #include "core/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace magnoliaspan {
@@ -24,6 +25,8 @@
     TargetStage stage = TargetStage::Ready;
     Duration coldLeft{};        ///< Time until it is warm, counted from when it wrote this entry.
     std::int64_t startedAt = 0; ///< Unix time of its start in ms by its own clock; only compared for equality.
+    /// Raised by the target with each entry that it writes, also those that change nothing else; starts anew with each start.
+    std::optional<std::int64_t> writeNumber;
 
     bool operator==(const TargetEntry &) const = default;
 };
