Hold back a restored evacuation for a fixed time only

Cause: the copy listed an earlier evacuation of that zone, which had ended, so that the new one was held back until the end of the grace period for lapsed entries; on followers that period is prolonged by each result from a reader that lately lost the source. Change: a timer of its own, which later results do not prolong. The new relay test failed before on the three followers.

--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -167,6 +167,7 @@
                                     position_.revision));
         // What was published after the copy was made is published again, as after an outage.
         startLapseGracePeriod();
+        startSettling();
     }
     registry_.apply(result, isInLapseGracePeriod());
     position_ = result.complete ? result.position : std::max(position_, result.position);
@@ -286,6 +287,17 @@
     });
 }
 
+// Unlike the grace period it is not prolonged by later results: an evacuation must not be ignored for long.
+void DiscoveryController::startSettling()
+{
+    scheduler_.cancel(settleTimer_);
+    settleTimer_ = scheduler_.callAt(clock_.now() + lapseGracePeriod, [this, token = std::weak_ptr<int>(lifetimeToken_)] {
+        if (!token.expired()) {
+            registry_.settle();
+        }
+    });
+}
+
 bool DiscoveryController::isInLapseGracePeriod() const
 {
     return lapseGraceStart_ && clock_.now() - *lapseGraceStart_ < lapseGracePeriod;
--- a/src/discovery/DiscoveryController.h
+++ b/src/discovery/DiscoveryController.h
@@ -52,6 +52,7 @@
     void scheduleNextCall(Duration wait);
     void recordSourceState(const DiscoveryReadResult &result);
     void startLapseGracePeriod();
+    void startSettling();
     void onHistoryLost(std::string_view reason);
     void apply(const DiscoveryReadResult &result);
     /// \param isNewEra whether this is the first notice of the era of \p position.
@@ -77,6 +78,7 @@
     std::optional<TimePoint> lapseGraceStart_; // Start of the last grace period for lapsed entries.
     TimerId timer_ = TimerId::None;
     TimerId lapseGraceTimer_ = TimerId::None;
+    TimerId settleTimer_ = TimerId::None;
     TimerId peerPositionTimer_ = TimerId::None; // Set while another host has a newer position.
     std::shared_ptr<int> lifetimeToken_;        // Callbacks hold it weakly and do nothing once the controller is destroyed.
 };
--- a/src/discovery/Registry.cpp
+++ b/src/discovery/Registry.cpp
@@ -173,6 +173,10 @@
     for (const std::string &id : lapsed) {
         removeTarget(id, false);
     }
+}
+
+void Registry::settle()
+{
     isSettling_ = false;
     const auto unsettled = std::exchange(unsettledZones_, {});
     for (const auto &[zone, evacuated] : unsettled) {
--- a/src/discovery/Registry.h
+++ b/src/discovery/Registry.h
@@ -35,14 +35,18 @@
     /// \brief Applies the changes of \p result; if that is complete, also removes the entries that it does not list.
     ///
     /// The first complete result of another era is an older copy of the published state. What is known to be newer stays:
-    /// entries of targets that have written since, departures, and, until removeLapsed(), evacuations and their ends, as
-    /// these are published again soon.
+    /// entries of targets that have written since, departures, and, until settle(), evacuations and their ends, as these
+    /// are published again soon.
     /// \param keepLapsed whether removed entries may only have lapsed, and are kept until removeLapsed().
     void apply(const DiscoveryReadResult &result, bool keepLapsed);
 
-    /// \brief Removes the entries that lapsed and were not published again, and goes by the published evacuations.
+    /// \brief Removes the entries that lapsed and were not published again.
     void removeLapsed();
 
+    /// \brief Applies the evacuations that a restored source still contradicts; to be called once operators had time to
+    /// publish theirs again.
+    void settle();
+
     /// \returns the table in force, null before the first one.
     const RoutingTablePtr &table() const;
 
--- a/tests/unit/RegistryTest.cpp
+++ b/tests/unit/RegistryTest.cpp
@@ -157,14 +157,14 @@
     SECTION("it is published again")
     {
         fixture.change(ZoneEvacuation{"z", true});
-        fixture.registry.removeLapsed();
+        fixture.registry.settle();
         CHECK(fixture.registry.isEvacuated("z"));
         fixture.read(2, {});
         CHECK_FALSE(fixture.registry.isEvacuated("z"));
     }
     SECTION("it is not")
     {
-        fixture.registry.removeLapsed();
+        fixture.registry.settle();
         CHECK_FALSE(fixture.registry.isEvacuated("z"));
     }
     SECTION("it is cancelled")
@@ -184,12 +184,12 @@
     SECTION("its end is published again")
     {
         fixture.change(ZoneEvacuation{"z", false});
-        fixture.registry.removeLapsed();
+        fixture.registry.settle();
         CHECK_FALSE(fixture.registry.isEvacuated("z"));
     }
     SECTION("it is not")
     {
-        fixture.registry.removeLapsed();
+        fixture.registry.settle();
         CHECK(fixture.registry.isEvacuated("z"));
     }
 }
--- a/tests/unit/RelayTest.cpp
+++ b/tests/unit/RelayTest.cpp
@@ -18,12 +18,16 @@
 
 namespace {
 
-/// Decodes each item as a target with the item's key as its id.
+/// Decodes an item with the key "zone:ZONE" as an evacuation and each other one as a target with the item's key as its id.
 class TargetDecoder : public ItemDecoder
 {
 public:
     std::optional<DiscoveryChange> decode(const PublishedItem &item) const override
     {
+        constexpr std::string_view zonePrefix = "zone:";
+        if (item.key.starts_with(zonePrefix)) {
+            return ZoneEvacuation{item.key.substr(zonePrefix.size()), item.encoded.has_value()};
+        }
         if (!item.encoded) {
             return TargetRemoved{item.key};
         }
@@ -199,6 +203,7 @@
         listener.readApplied = [this] { gossip.setPosition(mirror.position()); };
         listener.targetChanged = [](const TargetEntry &) {};
         listener.targetRemoved = [](const std::string &) {};
+        listener.zoneChanged = [](const std::string &, bool) {};
         registry.setListener(std::move(listener));
         gossip.onPeerPosition([this](const StatePosition &position) { controller.handlePeerPosition(position); });
         gossip.start();
@@ -502,6 +507,29 @@
     }
 }
 
+// Guards against followers whose readers still report the outage, which prolongs the grace period for lapsed entries.
+TEST_CASE("relay: pattern restored copy, an evacuation is in force at all hosts within five seconds though an earlier one had ended")
+{
+    RelayFixture fixture;
+    fixture.publisher.put("zone:z");
+    fixture.run(seconds(1));
+    const Publisher copy = fixture.publisher;
+    fixture.publisher.remove("zone:z");
+    fixture.run(seconds(2));
+    for (const auto &host : fixture.hosts) {
+        host->direct.failing = true;
+    }
+    fixture.run(milliseconds(300));
+    fixture.publisher.restore(copy);
+    for (const auto &host : fixture.hosts) {
+        host->direct.failing = false;
+    }
+    fixture.run(seconds(5));
+    for (const auto &host : fixture.hosts) {
+        CHECK(host->registry.isEvacuated("z"));
+    }
+}
+
 // Guards against hosts that read again for as long as one host keeps a state of a lost history.
 TEST_CASE("relay: positions of an older era, however high, cause no calls")
 {
