Reset a connection that is closed while an exchange runs on it

What callers would see: a request that was given up during a network partition runs after it heals, and after another host has served it. Cause: the connection was closed in the ordinary way, after which the kernel still delivers the bytes that the partition held up. Change: a reset.

--- a/src/net/HttpTransport.cpp
+++ b/src/net/HttpTransport.cpp
@@ -76,10 +76,15 @@
     void close()
     {
         closing_ = true;
+        boost::system::error_code ignored;
+        if (replyHandler_) {
+            // Nobody waits for the exchange any more. Without a reset, bytes of its request that a network partition holds up
+            // would reach the target when the partition heals.
+            socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
         replyHandler_ = nullptr;
         connectHandler_ = nullptr;
         closedHandler_ = nullptr;
-        boost::system::error_code ignored;
         socket_.close(ignored);
     }
 
