Pass requests to another host while this one reaches no target

Cause: the only thing that a host could do with a request for which it reached no target was to refuse or lose it; and it judged each target by itself, so that some always counted as reachable. Change: TargetContact tells that this host reaches no target, from silence or failed connects of several targets and probes of some; it is logged. Such a host passes each request to another one (handoff/), whole, with its id, the time left and the time to the goal; that one never passes it on again. A request that must not run twice goes to one host only, and only if no byte of it left this one. Routes' regions are kept. Hosts say in their datagrams and answers whether they reach targets: those that don't are left out, and if none is left the request is refused at once. After the cut failures that were not the targets' are forgotten. Ruled out: readiness alone (the balancer uses all hosts of a zone when fewer than half are ready, and open connections stay).

--- a/src/app/ForwardCommand.cpp
+++ b/src/app/ForwardCommand.cpp
@@ -24,6 +24,8 @@
 
 // The settings file is polled, since it may change without a reload signal.
 constexpr Duration settingsPollInterval = std::chrono::seconds(1);
+// Four times the largest requests of callers.
+constexpr std::size_t maxPeerBodyBytes = 1'048'576;
 // Time for the body beyond the header time-out; allows for callers on slow links.
 constexpr Duration bodyTimeout = std::chrono::seconds(10);
 
@@ -46,6 +48,14 @@
     std::function<ServiceReply()> makeReply_;
 };
 
+// A request that is passed on has the size of the caller's, with its fields.
+HttpServerLimits peerLimits()
+{
+    HttpServerLimits limits;
+    limits.maxBodyBytes = maxPeerBodyBytes;
+    return limits;
+}
+
 ServiceReply readinessReply(const ForwardHost &host)
 {
     const std::string reason = host.notReadyReason();
@@ -84,7 +94,7 @@
             return ServiceReply{200, "text/plain; version=0.0.4", metricsText()};
         })
         , callerServer_(loop_, host_.forwardService(), {})
-        , peerServer_(loop_, host_.relayService(), {})
+        , peerServer_(loop_, host_.peerService(), peerLimits())
         , readyServer_(loop_, readinessService_, {})
         , metricsServer_(loop_, metricsService_, {})
     {
--- a/src/app/ForwardHost.cpp
+++ b/src/app/ForwardHost.cpp
@@ -39,6 +39,7 @@
     , activeRequests_(serving_)
     , registry_(journal_)
     , crashGuard_(environment.clock, journal_, counters_)
+    , contact_(environment.clock, environment.scheduler, journal_, counters_)
     , gossip_(environment.clock,
               environment.scheduler,
               journal_,
@@ -65,6 +66,10 @@
                     mirror_,
                     settings_.peerKey,
                     [this] { return relaySource_.isSourceRecentlyUnavailable(); })
+    , handoff_({environment.clock, environment.scheduler, journal_, counters_, environment.transport, gossip_},
+               settings_.peerKey,
+               settings_.regionOfZone,
+               environment.seed + 4)
     , environment_{environment.clock,
                    environment.scheduler,
                    environment.transport,
@@ -72,14 +77,34 @@
                    counters_,
                    environment.codec,
                    crashGuard_,
+                   contact_,
+                   handoff_,
                    environment.seed}
     , replicas_(environment_, registry_, {settings_.zone, settings_.regionOfZone}, settings_.limits)
     , discovery_(environment.clock, environment.scheduler, journal_, relaySource_, registry_, settings_.watchTime, environment.seed)
     , forwardService_(environment_, registry_, replicas_, activeRequests_, environment.seed + 1)
+    , handoffService_(counters_, contact_, forwardService_, settings_.peerKey)
+    , peerService_(relayService_, handoffService_)
     , tickTimer_(environment.clock, environment.scheduler, tickInterval, [this] { tick(); })
 {
     connectRegistry();
     connectGossip();
+    connectContact();
+}
+
+void ForwardHost::connectContact()
+{
+    TargetContact::Listener listener;
+    listener.probe = [this] { replicas_.probeTargets(); };
+    listener.changed = [this](bool lost) {
+        gossip_.setReachesTargets(!lost);
+        if (!lost) {
+            replicas_.onContactRegained();
+        } else if (contact_.isSilent()) {
+            forwardService_.onContactLost();
+        }
+    };
+    contact_.setListener(std::move(listener));
 }
 
 void ForwardHost::connectRegistry()
@@ -106,6 +131,7 @@
 {
     gossip_.onSharingHostsChanged([this](unsigned hosts) { replicas_.setHostCount(hosts); });
     gossip_.onPeerPosition([this](const StatePosition &position) { discovery_.handlePeerPosition(position); });
+    gossip_.onPeerReach([this](const std::string &host, bool reaches) { handoff_.recordPeer(host, reaches); });
     gossip_.onCrashReport([this](const CrashReport &report) { crashGuard_.mergeFromPeer(report); });
     crashGuard_.onConfirmedLoss([this](const CrashReport &report) { gossip_.reportCrash(report); });
 }
@@ -171,9 +197,9 @@
     }
 }
 
-RelayService &ForwardHost::relayService()
+Service &ForwardHost::peerService()
 {
-    return relayService_;
+    return peerService_;
 }
 
 ForwardService &ForwardHost::forwardService()
--- a/src/app/ForwardHost.h
+++ b/src/app/ForwardHost.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "app/ActiveRequests.h"
+#include "app/ForwardPeerService.h"
 #include "config/ForwardSettings.h"
 #include "control/PauseDetector.h"
 #include "control/ServingController.h"
@@ -12,6 +13,8 @@
 #include "discovery/DiscoveryController.h"
 #include "forward/CrashGuard.h"
 #include "forward/ForwardService.h"
+#include "handoff/HandoffController.h"
+#include "handoff/HandoffService.h"
 #include "membership/GossipController.h"
 #include "relay/RelayService.h"
 #include "relay/RelaySource.h"
@@ -62,8 +65,8 @@
 
     ForwardService &forwardService();
 
-    /// \returns the service that serves relay requests of other hosts.
-    RelayService &relayService();
+    /// \returns the service that serves requests of other hosts.
+    Service &peerService();
 
     ServingController &serving();
     Journal &journal();
@@ -74,6 +77,7 @@
 private:
     void connectRegistry();
     void connectGossip();
+    void connectContact();
     void tick();
 
     ForwardSettings settings_;
@@ -85,14 +89,18 @@
     ActiveRequests activeRequests_;
     Registry registry_;
     CrashGuard crashGuard_;
+    TargetContact contact_;
     GossipController gossip_;
     Mirror mirror_;
     RelaySource relaySource_;
     RelayService relayService_;
+    HandoffController handoff_;
     ForwardEnvironment environment_;
     ReplicaController replicas_;
     DiscoveryController discovery_;
     ForwardService forwardService_;
+    HandoffService handoffService_;
+    ForwardPeerService peerService_;
     std::function<void(const ListenerLimits &)> listenerLimitsHandler_;
     TimePoint nextReplicaTick_{};
     PeriodicTimer tickTimer_;
--- a/src/forward/ForwardEnvironment.h
+++ b/src/forward/ForwardEnvironment.h
@@ -9,6 +9,8 @@
 #include "core/Scheduler.h"
 #include "forward/CrashGuard.h"
 #include "forward/ForwardCodec.h"
+#include "forward/RequestHandoff.h"
+#include "forward/TargetContact.h"
 #include "transport/Transport.h"
 
 #include <cstdint>
@@ -24,6 +26,8 @@
     Counters &counters;
     const ForwardCodec &codec;
     CrashGuard &crashGuard;
+    TargetContact &contact;
+    RequestHandoff &handoff;
     std::uint64_t seed = 0; ///< Seeds random choices that must differ between hosts.
 };
 
--- a/src/forward/ForwardOperation.cpp
+++ b/src/forward/ForwardOperation.cpp
@@ -9,6 +9,7 @@
 #include <cassert>
 #include <cmath>
 #include <fmt/format.h>
+#include <utility>
 
 namespace magnoliaspan {
 
@@ -19,6 +20,8 @@
 constexpr unsigned statusGatewayTimeout = 504;
 // A target that is not registered yet does so within about this time of its start.
 constexpr Duration unlistedRetryAfter = std::chrono::seconds(1);
+// A host that is cut off from all targets probes them at about this interval, and so do hosts that could serve instead.
+constexpr Duration lostContactRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration minRetryAfter = std::chrono::milliseconds(50);
 
 // Callers take these statuses for a guarantee that the request has not run and never will.
@@ -84,10 +87,17 @@
 void ForwardOperation::start()
 {
     const auto self = shared_from_this();
+    deadlineTimer_ = environment_.scheduler.callAt(context_->deadline, [self] { self->onDeadlineExpired(); });
+    if (environment_.contact.isLost()) {
+        constexpr std::string_view cause = "no target can be reached";
+        if (!tryPassOn(cause)) {
+            deliver(refusalReply(statusUnavailable, cause, lostContactRetryAfter), cause);
+        }
+        return;
+    }
     if (!admit()) {
         return;
     }
-    deadlineTimer_ = environment_.scheduler.callAt(context_->deadline, [self] { self->onDeadlineExpired(); });
     if (shards_ != nullptr && context_->goal > startedAt_) {
         goalTimer_ = environment_.scheduler.callAt(std::max(startedAt_, context_->goal - goalReserve), [self] { self->onGoalExpired(); });
     } else {
@@ -121,7 +131,11 @@
         return shards_ == nullptr ? count == 1 : coverageReached(count, calls_.size(), shards_->minimumCoverage);
     };
     if (!enough(reachable)) {
-        refuse(statusUnavailable, fmt::format("{} of {} services have a reachable target", reachable, calls_.size()));
+        servicesReachable_ = false;
+        const std::string cause = fmt::format("{} of {} services have a reachable target", reachable, calls_.size());
+        if (!tryPassOn(cause)) {
+            refuse(statusUnavailable, cause);
+        }
         return false;
     }
     if (!enough(inTime)) {
@@ -132,6 +146,83 @@
     return true;
 }
 
+std::vector<std::string> ForwardOperation::services() const
+{
+    std::vector<std::string> names;
+    for (const ServiceCall &call : calls_) {
+        names.push_back(call.shardCall->service());
+    }
+    return names;
+}
+
+bool ForwardOperation::mayPassOn() const
+{
+    if (!handler_ || context_->passedOn || verdictBeforeHandoff_) {
+        return false;
+    }
+    if (context_->route->repeatability == Repeatability::Idempotent) {
+        return true;
+    }
+    const bool sent = std::any_of(calls_.begin(), calls_.end(), [](const ServiceCall &call) { return call.shardCall->hasSentBytes(); });
+    return !sent && verdict() == Verdict::NotRun;
+}
+
+bool ForwardOperation::tryPassOn(std::string_view cause)
+{
+    if (!mayPassOn() || !environment_.handoff.isPossible(services(), context_->route->allowedRegions)) {
+        return false;
+    }
+    const bool sent = std::any_of(calls_.begin(), calls_.end(), [](const ServiceCall &call) { return call.shardCall->hasSentBytes(); });
+    verdictBeforeHandoff_ = sent ? Verdict::MayHaveRun : verdict();
+    for (ServiceCall &call : calls_) {
+        // Closes the connections, so that bytes that are still on their way do not reach the targets later.
+        call.shardCall->cancel(true);
+    }
+    environment_.scheduler.cancel(goalTimer_);
+    environment_.journal.record(LogCategory::Route, context_->request.id, fmt::format("request is passed on cause=\"{}\"", cause));
+    HandoffRequest request;
+    request.request = context_->request;
+    request.goal = context_->goal;
+    request.deadline = context_->deadline;
+    request.idempotent = context_->route->repeatability == Repeatability::Idempotent;
+    request.services = services();
+    request.allowedRegions = context_->route->allowedRegions;
+    cancelHandoff_ = environment_.handoff.start(std::move(request), [self = shared_from_this()](HandoffResult result) {
+        self->cancelHandoff_ = nullptr;
+        self->onPassedOn(std::move(result));
+    });
+    return true;
+}
+
+void ForwardOperation::onPassedOn(HandoffResult result)
+{
+    if (!handler_) {
+        return;
+    }
+    if (result.mayHaveRun) {
+        verdictBeforeHandoff_ = Verdict::MayHaveRun;
+    }
+    const bool hasRun = *verdictBeforeHandoff_ != Verdict::NotRun;
+    if (!result.reply || (hasRun && impliesNotRun(result.reply->status))) {
+        constexpr std::string_view cause = "no other host served the request";
+        const auto wait = hasRun ? std::nullopt : std::optional(lostContactRetryAfter);
+        deliver(refusalReply(hasRun ? statusBadGateway : statusUnavailable, cause, wait), cause);
+        return;
+    }
+    deliver(std::move(*result.reply), "served by another host");
+}
+
+void ForwardOperation::onContactLost()
+{
+    if (shards_ != nullptr) {
+        const GatherState state = gatherState();
+        if (coverageReached(state.succeeded, state.total, state.minimumCoverage)) {
+            return;
+        }
+    }
+    tryPassOn("no target can be reached any more");
+}
+
 void ForwardOperation::onCallEnded(std::size_t index, CallResult result)
 {
     if (!handler_) {
@@ -155,7 +246,9 @@
         forwardResponse(std::move(*result.response));
         return;
     }
-    refuse(result.verdict == Verdict::NotRun ? statusUnavailable : statusBadGateway, result.cause);
+    if (!environment_.contact.isLost() || !tryPassOn(result.cause)) {
+        refuse(result.verdict == Verdict::NotRun ? statusUnavailable : statusBadGateway, result.cause);
+    }
 }
 
 GatherState ForwardOperation::gatherState() const
@@ -177,7 +270,9 @@
         respondMerged();
         return;
     case GatherStep::GiveUp:
-        refuse(verdict() == Verdict::NotRun ? statusUnavailable : statusBadGateway, "too few shards answered");
+        if (!environment_.contact.isLost() || !tryPassOn("too few shards answered")) {
+            refuse(verdict() == Verdict::NotRun ? statusUnavailable : statusBadGateway, "too few shards answered");
+        }
         return;
     }
 }
@@ -195,6 +290,11 @@
     if (!handler_) {
         return;
     }
+    if (cancelHandoff_) {
+        verdictBeforeHandoff_ = Verdict::MayHaveRun;
+        deliver(refusalReply(statusGatewayTimeout, "deadline reached", std::nullopt), "deadline reached at another host");
+        return;
+    }
     if (shards_ != nullptr) {
         const GatherState state = gatherState();
         if (coverageReached(state.succeeded, state.total, state.minimumCoverage)) {
@@ -314,9 +414,12 @@
     for (ServiceCall &call : calls_) {
         call.shardCall->cancel(false);
     }
+    if (const auto cancelHandoff = std::exchange(cancelHandoff_, nullptr)) {
+        cancelHandoff();
+    }
     const auto handler = std::move(handler_);
     handler_ = nullptr;
-    handler(std::move(reply));
+    handler({std::move(reply), servicesReachable_});
 }
 
 void ForwardOperation::cancel()
@@ -332,6 +435,9 @@
     for (ServiceCall &call : calls_) {
         call.shardCall->cancel(true);
     }
+    if (const auto cancelHandoff = std::exchange(cancelHandoff_, nullptr)) {
+        cancelHandoff();
+    }
 }
 
 } // namespace magnoliaspan
--- a/src/forward/ForwardOperation.h
+++ b/src/forward/ForwardOperation.h
@@ -36,11 +36,20 @@
 /// \returns whether \p succeeded shards of \p total reach \p minimumCoverage; never without any.
 bool coverageReached(std::size_t succeeded, std::size_t total, double minimumCoverage);
 
+/// \brief How a request ended.
+struct OperationResult {
+    ServiceReply reply;            ///< For the caller.
+    bool servicesReachable = true; ///< Whether this host had a usable target of enough services.
+};
+
 /// \brief Runs one request.
+///
+/// A request that this host cannot serve, because it reaches no target or none of a service that is needed, is passed on to
+/// another host, unless it must not run twice and may have run.
 class ForwardOperation : public std::enable_shared_from_this<ForwardOperation>
 {
 public:
-    using Handler = std::function<void(ServiceReply reply)>;
+    using Handler = std::function<void(OperationResult result)>;
 
     /// \param services one, or one for each shard when \p shards is set.
     /// \param shards the merge that the route asks for, or null; points into the routing table of \p context.
@@ -57,6 +66,9 @@
     /// \brief Cancels the request because its caller disconnected.
     void cancel();
 
+    /// \brief Passes the request on, if that is possible and of use, since this host reaches no target any more.
+    void onContactLost();
+
 private:
     struct ServiceCall {
         std::shared_ptr<ShardCall> shardCall;
@@ -65,6 +77,10 @@
     };
 
     bool admit();
+    bool tryPassOn(std::string_view cause);
+    bool mayPassOn() const;
+    void onPassedOn(HandoffResult result);
+    std::vector<std::string> services() const;
     void onCallEnded(std::size_t index, CallResult result);
     void finishSingle();
     void advanceGather();
@@ -89,6 +105,9 @@
     TimerId goalTimer_ = TimerId::None;
     TimerId deadlineTimer_ = TimerId::None;
     bool goalExpired_ = false;
+    bool servicesReachable_ = true;
+    RequestHandoff::CancelFunction cancelHandoff_; // Set while another host has the request.
+    std::optional<Verdict> verdictBeforeHandoff_;  // Of the attempts of this host; set once the request was passed on.
 };
 
 /// \returns a refusal by this host.
--- a/src/forward/ForwardService.cpp
+++ b/src/forward/ForwardService.cpp
@@ -188,19 +188,53 @@
         handler(refuse(request, statusUnavailable, "too many requests in flight", busyRetryAfter));
         return {};
     }
+    return run(makeContext(std::move(request), fingerprint, *route),
+               [handler = std::move(handler)](OperationResult result) { handler(std::move(result.reply)); });
+}
+
+Service::CancelFunction ForwardService::handleHandoff(ForwardRequest request, Duration goalLeft, HandoffHandler handler)
+{
+    const Route *route = registry_.table() ? registry_.table()->find(request.host, pathOf(request.target)) : nullptr;
+    const Fingerprint fingerprint = fingerprintOfRequest(request);
+    std::string_view cause;
+    if (route == nullptr) {
+        // The routing table of the host that the caller asked may be newer; this one cannot deny the request.
+        cause = "no route at the other host";
+    } else if (environment_.crashGuard.refusedUntil(fingerprint)) {
+        cause = "request crashed targets before";
+    } else if (activeRequests_.count() >= replicas_.limits().maxInFlight) {
+        cause = "too many requests in flight";
+    }
+    if (!cause.empty()) {
+        handler(refuse(request, statusUnavailable, cause, busyRetryAfter), true);
+        return {};
+    }
+    auto context = makeContext(std::move(request), fingerprint, *route);
+    context->goal = environment_.clock.now() + goalLeft;
+    context->passedOn = true;
+    return run(std::move(context),
+               [handler = std::move(handler)](OperationResult result) { handler(std::move(result.reply), result.servicesReachable); });
+}
+
+void ForwardService::onContactLost()
+{
+    const auto running = operations_;
+    for (const auto &[number, operation] : running) {
+        operation->onContactLost();
+    }
+}
+
+Service::CancelFunction ForwardService::run(std::shared_ptr<CallContext> context, ForwardOperation::Handler handler)
+{
     admitted_.add(environment_.clock.now());
-    ResolvedDestination resolved = resolveDestination(*route);
+    ResolvedDestination resolved = resolveDestination(*context->route);
     const std::uint64_t number = ++lastOperation_;
-    auto finished = [this, number, token = activeRequests_.track(), handler = std::move(handler)](ServiceReply reply) {
+    auto finished = [this, number, token = activeRequests_.track(), handler = std::move(handler)](OperationResult result) {
         const auto operation = operations_.extract(number);
-        handler(std::move(reply));
+        handler(std::move(result));
     };
-    auto operation = std::make_shared<ForwardOperation>(environment_,
-                                                        replicas_,
-                                                        makeContext(std::move(request), fingerprint, *route),
-                                                        std::move(resolved.services),
-                                                        resolved.shards,
-                                                        std::move(finished));
+    auto operation = std::make_shared<ForwardOperation>(
+        environment_, replicas_, std::move(context), std::move(resolved.services), resolved.shards, std::move(finished));
     operations_.emplace(number, operation);
     operation->start();
     return [this, number] {
--- a/src/forward/ForwardService.h
+++ b/src/forward/ForwardService.h
@@ -29,6 +29,16 @@
     /// \brief Forwards a request. One that arrives before the first routing table waits for it, for a limited time.
     CancelFunction handle(ServiceRequest request, ReplyHandler handler) override;
 
+    using HandoffHandler = std::function<void(ServiceReply reply, bool servicesReachable)>;
+
+    /// \brief Forwards a request that another host passed on; it is not passed on again.
+    /// \param goalLeft time until its latency goal; negative if that has expired.
+    /// \param handler called once with the reply, and whether this host had a usable target of enough services.
+    CancelFunction handleHandoff(ForwardRequest request, Duration goalLeft, HandoffHandler handler);
+
+    /// \brief Passes on the requests that this host cannot complete, since it reaches no target any more.
+    void onContactLost();
+
     /// \returns the requests admitted within the last SlidingCount::window.
     unsigned recentRequests() const;
 
@@ -44,6 +54,7 @@
 
     CancelFunction enqueueUntilTable(ForwardRequest request, ReplyHandler handler);
     CancelFunction serve(ForwardRequest request, ReplyHandler handler);
+    CancelFunction run(std::shared_ptr<CallContext> context, ForwardOperation::Handler handler);
 
     struct ResolvedDestination {
         std::vector<std::string> services;
--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -312,6 +312,7 @@
         const bool silent = error == make_error_code(TransportError::Silent);
         closeConnection(id);
         health_.recordConnectFailure(silent);
+        environment_.contact.recordConnectFailure(entry_.id);
         environment_.counters.add("magnoliaspan_target_connect_failures_total");
         environment_.journal.record(LogCategory::Target,
                                     "",
@@ -325,6 +326,7 @@
         return;
     }
     health_.recordConnect();
+    environment_.contact.recordConnect();
     pooled.connecting = false;
     pooled.connectDuration = environment_.clock.now() - pooled.openedAt;
     onConnectionIdle(id);
@@ -390,9 +392,11 @@
     const TimePoint now = environment_.clock.now();
     if (reply.error) {
         result.outcome = reply.bytesSent ? AttemptOutcome::Lost : AttemptOutcome::NeverSent;
+        environment_.contact.recordSilence(entry_.id);
         return;
     }
     health_.recordResponse();
+    environment_.contact.recordResponse();
     result.response = environment_.codec.decodeResponse(std::move(reply));
     if (result.response.otherTarget) {
         result.outcome = AttemptOutcome::OtherTarget;
@@ -463,6 +467,23 @@
     }
 }
 
+Duration Replica::sinceLastResponse() const
+{
+    return health_.sinceLastResponse();
+}
+
+void Replica::probe()
+{
+    if (connectingCount() == 0) {
+        openConnection();
+    }
+}
+
+void Replica::onContactRegained()
+{
+    health_.onContactRegained();
+}
+
 bool Replica::canOpenConnection() const
 {
     return connections_.size() < std::min(limits_.connections, allowedConnections_) && environment_.clock.now() >= connectBackoffUntil_;
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -136,6 +136,15 @@
     std::size_t attemptCount() const;
     std::size_t connectionCount() const;
 
+    /// \returns the time since a response of any kind arrived.
+    Duration sinceLastResponse() const;
+
+    /// \brief Opens a connection, whatever the state of the target, unless one is being opened.
+    void probe();
+
+    /// \brief Forgets failed connects and exchanges: this host was cut off from all targets, and reaches one again.
+    void onContactRegained();
+
     /// \brief Expires queued attempts and closes connections that have been idle for too long; to be called regularly.
     void runMaintenance();
 
--- a/src/forward/ReplicaController.cpp
+++ b/src/forward/ReplicaController.cpp
@@ -4,6 +4,7 @@
 #include "forward/ReplicaController.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace magnoliaspan {
 
@@ -51,6 +52,7 @@
     , registry_(registry)
     , location_(std::move(location))
     , limits_(limits)
+    , random_(environment.seed)
 {
 }
 
@@ -358,6 +360,33 @@
     return {baselineLatency(workKind, otherRegion), std::clamp(halfLifeRequests * interval, minHalfLife, maxHalfLife)};
 }
 
+void ReplicaController::probeTargets()
+{
+    // Some of the targets may be down. Those that responded last are the least likely to be.
+    constexpr std::ptrdiff_t probedTargets = 3;
+    ReplicaList ready;
+    for (const auto &[id, replica] : replicas_) {
+        if (isReady(replica) && !replica->isRetired()) {
+            ready.push_back(replica);
+        }
+    }
+    const auto recent = ready.begin() + std::min<std::ptrdiff_t>(probedTargets, std::ssize(ready));
+    std::partial_sort(
+        ready.begin(), recent, ready.end(), [](const auto &a, const auto &b) { return a->sinceLastResponse() < b->sinceLastResponse(); });
+    ReplicaList selected(ready.begin(), recent);
+    std::sample(recent, ready.end(), std::back_inserter(selected), probedTargets, random_);
+    for (const auto &replica : selected) {
+        replica->probe();
+    }
+}
+
+void ReplicaController::onContactRegained()
+{
+    for (const auto &[id, replica] : replicas_) {
+        replica->onContactRegained();
+    }
+}
+
 void ReplicaController::tick()
 {
     std::erase_if(retired_, [](const std::shared_ptr<Replica> &replica) { return replica->attemptCount() == 0; });
--- a/src/forward/ReplicaController.h
+++ b/src/forward/ReplicaController.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <span>
 #include <string>
@@ -101,6 +102,13 @@
     /// \returns baselineLatency() with the half-life that suits the rate of requests to \p service.
     LatencyBaseline baselineFor(std::string_view service, std::string_view workKind, bool otherRegion) const;
 
+    /// \brief Opens connections to the targets that responded last and to a few random ones, whatever their state, to learn
+    /// whether any can be reached.
+    void probeTargets();
+
+    /// \brief Forgets failures of targets, after this host was cut off from all of them.
+    void onContactRegained();
+
     /// \brief Runs the maintenance of all replicas and drops retired ones without attempts.
     void tick();
 
@@ -133,6 +141,7 @@
     HostLocation location_;
     ForwardLimits limits_;
     double trafficWeight_ = 1;
+    std::mt19937_64 random_; // Selects the targets to probe.
     Replicas replicas_;
     std::map<std::string, std::set<std::string>, std::less<>> byService_; // Invariant: each id is a key of replicas_.
     std::map<std::string, TimePoint, std::less<>> drainingSince_;         // When this host learned of it, by target id.
--- a/src/forward/ReplicaHealth.cpp
+++ b/src/forward/ReplicaHealth.cpp
@@ -134,6 +134,16 @@
     lastResponseAt_ = clock_.now();
 }
 
+void ReplicaHealth::onContactRegained()
+{
+    restartSuspected_ = false;
+    consecutiveConnectFailures_ = 0;
+    unreachableUntil_ = {};
+    consecutiveFailures_ = 0;
+    backoffUntil_ = {};
+    failureRate_ = 0;
+}
+
 double ReplicaHealth::failureRate() const
 {
     return failureRate_ * std::exp2(-static_cast<double>((clock_.now() - failureRateAt_).count()) / failureHalfLife);
--- a/src/forward/ReplicaHealth.h
+++ b/src/forward/ReplicaHealth.h
@@ -54,6 +54,9 @@
     /// \brief Records that a response of any kind arrived.
     void recordResponse();
 
+    /// \brief Forgets failures that were not the target's, because this host was cut off from all targets.
+    void onContactRegained();
+
     /// \returns the recent share of exchanges without a successful response, 0 to 1.
     double failureRate() const;
 
--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -186,6 +186,7 @@
         return;
     }
     sentAttempts_ = std::max(sentAttempts_, 1U);
+    environment_.contact.recordSilence(first.replica->entry().id);
     if (!canRetry()) {
         return;
     }
--- a/src/forward/ShardCall.h
+++ b/src/forward/ShardCall.h
@@ -20,9 +20,10 @@
     Fingerprint fingerprint{}; ///< Of the request's content, independent of the caller.
     RoutingTablePtr table;     ///< In force when the request arrived; keeps route alive.
     const Route *route = nullptr;
-    TimePoint deadline; ///< When the time-out of the caller or of the route expires, whichever is first.
-    TimePoint goal;     ///< Time of the latency goal, after which the response loses most of its use; may be in the past.
-    bool single = true; ///< Whether the request goes to one service rather than to shards.
+    TimePoint deadline;    ///< When the time-out of the caller or of the route expires, whichever is first.
+    TimePoint goal;        ///< Time of the latency goal, after which the response loses most of its use; may be in the past.
+    bool passedOn = false; ///< Whether another host passed it on to this one; it is not passed on again.
+    bool single = true;    ///< Whether the request goes to one service rather than to shards.
 };
 
 /// \brief Result of a call.
--- a/src/membership/GossipController.cpp
+++ b/src/membership/GossipController.cpp
@@ -195,6 +195,9 @@
     if (positionListener_) {
         positionListener_(datagram->position);
     }
+    if (reachListener_) {
+        reachListener_(datagram->sender.name, datagram->reachesTargets);
+    }
     if (datagram->type == DatagramType::Probe && table_.self().state != HostState::Left) {
         const bool countsDiffer = datagram->aliveCount != table_.aliveCount();
         PeerDatagram ack
@@ -368,13 +371,14 @@
 PeerDatagram GossipController::composeDatagram(DatagramType type, const Member *to, std::size_t sample)
 {
     // Room for the hash, the sender, the numbers, the load sample, the position and the brackets.
-    constexpr std::size_t headerBytes = 275;
+    constexpr std::size_t headerBytes = 280;
     constexpr std::size_t crashBytes = 45;
     PeerDatagram datagram;
     datagram.type = type;
     datagram.sender = table_.self();
     datagram.aliveCount = table_.aliveCount();
     datagram.position = position_;
+    datagram.reachesTargets = reachesTargets_;
     datagram.crashes = crashReportQueue_.takeNext(maxCrashReportsPerDatagram, maxTransmissions(urgentTransmissions));
     std::size_t room = PeerDatagramCodec::maxBytes - headerBytes - crashBytes * datagram.crashes.size();
     const auto include = [&](const Member &member) {
@@ -474,6 +478,19 @@
     positionListener_ = std::move(listener);
 }
 
+void GossipController::setReachesTargets(bool reaches)
+{
+    if (reachesTargets_ != reaches) {
+        reachesTargets_ = reaches;
+        schedulePush();
+    }
+}
+
+void GossipController::onPeerReach(std::function<void(const std::string &, bool)> listener)
+{
+    reachListener_ = std::move(listener);
+}
+
 const Member &GossipController::self() const
 {
     return table_.self();
--- a/src/membership/GossipController.h
+++ b/src/membership/GossipController.h
@@ -79,6 +79,12 @@
     /// \sa PeerDatagram::position
     void onPeerPosition(std::function<void(const StatePosition &position)> listener);
 
+    /// \brief Sets whether this host reaches any target; a change is sent to a few hosts at once.
+    void setReachesTargets(bool reaches);
+
+    /// \brief Calls \p listener with what each datagram says of its sender: whether that reaches any target.
+    void onPeerReach(std::function<void(const std::string &host, bool reachesTargets)> listener);
+
     const Member &self() const;
 
     /// \returns other hosts in state Alive, of \p zone or, without a value, of all zones.
@@ -150,6 +156,8 @@
     std::function<void(unsigned)> sharingHostsListener_;
     std::function<void(const StatePosition &)> positionListener_;
     StatePosition position_;
+    bool reachesTargets_ = true;
+    std::function<void(const std::string &, bool)> reachListener_;
     LoadAverage loadAverage_;
     std::uint64_t exchangeNumber_ = 0;   // Of the pending exchange; 0 if there is none.
     unsigned exchangeCount_ = 0;         // Started so far.
--- a/src/membership/PeerDatagram.cpp
+++ b/src/membership/PeerDatagram.cpp
@@ -94,6 +94,9 @@
     if (fields.size() > eraIndex) {
         datagram.position.era = fields.at(eraIndex).get<std::int64_t>();
     }
+    if (fields.size() > eraIndex + 1) {
+        datagram.reachesTargets = fields.at(eraIndex + 1).get<bool>();
+    }
     return datagram;
 }
 
@@ -129,6 +132,7 @@
                                std::move(crashes)});
     fields.push_back(datagram.load ? json::array({datagram.load->epoch, datagram.load->estimate}) : json());
     fields.push_back(datagram.position.era);
+    fields.push_back(datagram.reachesTargets);
     const std::string body = fields.dump(-1, ' ', false, json::error_handler_t::replace);
     return fmt::format("{} {}", hmacSha256(key_, body).substr(0, digestDigits), body);
 }
--- a/src/membership/PeerDatagram.h
+++ b/src/membership/PeerDatagram.h
@@ -41,6 +41,7 @@
     Member sender;
     std::uint64_t aliveCount = 0; ///< Number of other hosts that the sender has as alive or suspect.
     StatePosition position;       ///< In the history of the published state, up to which the sender has read.
+    bool reachesTargets = true;   ///< Whether the sender reaches any target.
     std::vector<Member> members;
     std::vector<CrashReport> crashes;
     std::optional<LoadSample> load; ///< Invariant: set if, and only if, the type is LoadExchange or LoadAnswer.
--- a/src/transport/SingleCall.cpp
+++ b/src/transport/SingleCall.cpp
@@ -19,7 +19,7 @@
                        std::function<void(const WireReply &)> handler)
 {
     handler_ = std::move(handler);
-    timer_ = scheduler_.callAt(deadline, [self = shared_from_this()] { self->finish({TransportError::Silent, true, 0, ""}); });
+    timer_ = scheduler_.callAt(deadline, [self = shared_from_this()] { self->finish({TransportError::Silent, self->sent_, 0, ""}); });
     connection_ = transport.connect(
         endpoint,
         [self = shared_from_this(), request = std::move(request)](std::error_code error) { self->onConnected(error, request); },
@@ -33,12 +33,18 @@
     connection_->close();
 }
 
+bool SingleCall::isSent() const
+{
+    return sent_;
+}
+
 void SingleCall::onConnected(std::error_code error, const WireRequest &request)
 {
     if (error) {
         finish({error, false, 0, ""});
         return;
     }
+    sent_ = true;
     connection_->exchange(request, [self = shared_from_this()](const WireReply &reply) { self->finish(reply); });
 }
 
--- a/src/transport/SingleCall.h
+++ b/src/transport/SingleCall.h
@@ -29,6 +29,9 @@
     /// \brief Closes the connection; the handler is not called afterwards.
     void cancel();
 
+    /// \returns whether the connection was established, so that bytes of the request may have been sent.
+    bool isSent() const;
+
 private:
     void onConnected(std::error_code error, const WireRequest &request);
     void finish(const WireReply &reply);
@@ -37,6 +40,7 @@
     std::function<void(const WireReply &)> handler_; // Empty once called or cancelled.
     std::unique_ptr<Connection> connection_;
     TimerId timer_ = TimerId::None;
+    bool sent_ = false;
 };
 
 } // namespace magnoliaspan
--- a/tests/unit/ForwardFixture.cpp
+++ b/tests/unit/ForwardFixture.cpp
@@ -297,6 +297,7 @@
     }
     reading.changes.emplace_back(TablePublished{std::make_shared<RoutingTable>(version, std::move(routes), services, ListenerLimits{})});
     reading.position.revision = ++revision_;
+    published = reading;
     discovery.publish(std::move(reading));
     run(std::chrono::milliseconds(400));
 }
--- a/tests/unit/ForwardFixture.h
+++ b/tests/unit/ForwardFixture.h
@@ -175,6 +175,7 @@
     std::map<std::string, std::unique_ptr<FakeTarget>> targets;
     std::unique_ptr<ForwardHost> host; ///< Made by the first publish().
     std::vector<ServiceSpec> services;
+    DiscoveryReadResult published; ///< The last state that publish() published.
 
 private:
     std::map<std::string, TargetEntry> entries_;
