Ask another host before a service counts as unreachable for all

A host that is about to notice that it is cut off answers that it reaches none of a service's targets; that answer made the asking host refuse requests to the service for a second. It now asks the next host first. What is known of hosts and services is dropped when it has expired. Found by reading, not measured by itself; the handoff tests pass.

--- a/src/handoff/HandoffController.cpp
+++ b/src/handoff/HandoffController.cpp
@@ -115,6 +115,16 @@
     }
 }
 
+// Hosts and services come and go for as long as this process runs.
+void HandoffController::dropExpiredEvidence()
+{
+    const TimePoint now = environment_.clock.now();
+    const auto isExpired = [now](const auto &entry) { return entry.second <= now; };
+    std::erase_if(avoidedUntil_, isExpired);
+    std::erase_if(unservedUntil_, isExpired);
+    std::erase_if(servedAt_, [now](const auto &entry) { return now - entry.second >= evidenceTime; });
+}
+
 void HandoffController::recordUnusable(const std::string &host)
 {
     avoidedUntil_[host] = environment_.clock.now() + evidenceTime;
@@ -123,6 +133,7 @@
 
 RequestHandoff::CancelFunction HandoffController::start(HandoffRequest request, Handler handler)
 {
+    dropExpiredEvidence();
     const std::uint64_t number = ++lastNumber_;
     Handoff &handoff = handoffs_[number];
     handoff.request = std::move(request);
@@ -202,6 +213,10 @@
         return;
     }
     if (!answer->servicesReachable) {
+        // It has not run there. That host may be about to notice that it is cut off itself.
+        if (sendToNext(number)) {
+            return;
+        }
         for (const std::string &service : handoff.request.services) {
             unservedUntil_[service] = environment_.clock.now() + unservedTime;
         }
--- a/src/handoff/HandoffController.h
+++ b/src/handoff/HandoffController.h
@@ -62,6 +62,7 @@
 
     std::vector<Member> candidates(std::span<const std::string> allowedRegions) const;
     bool isAvoided(const std::string &host) const;
+    void dropExpiredEvidence();
     void recordUnusable(const std::string &host);
     bool servedLately(const std::string &host) const;
     int distance(const Member &host) const;
--- a/src/handoff/HandoffService.cpp
+++ b/src/handoff/HandoffService.cpp
@@ -30,7 +30,7 @@
         return {};
     }
     counters_.add("magnoliaspan_handoffs_received_total");
-    const auto answer = [this, handler = std::move(handler)](HandoffAnswer result) {
+    const auto answer = [this, handler = std::move(handler)](const HandoffAnswer &result) {
         handler({statusOk, "application/octet-stream", codec_.encode(result), true});
     };
     if (contact_.isLost()) {
