Judge the searches of a load once they had their time

The step ended with its last arrival, and expect-load counted what was still in flight as lost. With real processes that depends on the moment. Change: expect-load waits for the searches of its load, at most the default hard deadline; the bounds stay, and a search that is not answered by then counts as lost, as before.

--- a/tests/scenario/Runner.cpp
+++ b/tests/scenario/Runner.cpp
@@ -354,11 +354,29 @@
     return report;
 }
 
+// A search that was sent just before the step has not had its time yet.
+void Runner::awaitAnswers(const std::string &load)
+{
+    // The default hard deadline of a system. A search that is not answered by then counts as lost.
+    constexpr Duration longestWait = std::chrono::milliseconds(300);
+    constexpr Duration interval = std::chrono::milliseconds(5);
+    const auto isPending = [this](const std::string &request) {
+        const CallerOutcome &outcome = world_.outcomes().at(request);
+        return !outcome.answered && !outcome.lost;
+    };
+    const auto &requests = loads_.at(load);
+    const Duration until = world_.elapsed() + longestWait;
+    while (world_.elapsed() < until && std::any_of(requests.begin(), requests.end(), isPending)) {
+        world_.run(interval);
+    }
+}
+
 void Runner::expectLoad(const Step &step)
 {
     if (loads_.count(step.words[0]) == 0) {
         step.fail(fmt::format("no load '{}' was run", step.words[0]));
     }
+    awaitAnswers(step.words[0]);
     const LoadReport found = report(step.words[0]);
     const std::map<std::string, double> figures
         = {{"answered", found.answered},
--- a/tests/scenario/Runner.h
+++ b/tests/scenario/Runner.h
@@ -54,6 +54,7 @@
     void expectTarget(const Step &step);
     void expectHost(const Step &step);
     void expectLoad(const Step &step);
+    void awaitAnswers(const std::string &load);
     void checkExpectation(const Step &step, const std::string &name, const std::string &expected, const std::string &found) const;
     Duration duration(const Step &step, const std::string &text) const;
 
