Pause between full reads while responses of the source disagree on the era

What would be seen: 500 calls a second by one host for as long as a part of the store is behind another, found by reading the diff. Cause: a watch of another era starts a full read at once, whose watch is of another era again; the same with repeated lost histories. Change: the second in a row waits for the backoff of failed calls. A departure that is recorded twice is kept once.

--- a/src/discovery/DepartedTargets.cpp
+++ b/src/discovery/DepartedTargets.cpp
@@ -15,8 +15,9 @@
 void DepartedTargets::record(const TargetEntry &entry, std::int64_t era)
 {
     const Start start{entry.id, entry.startedAt};
-    departures_[start] = {era, entry.writeNumber};
-    order_.push_back(start);
+    if (departures_.insert_or_assign(start, Departure{era, entry.writeNumber}).second) {
+        order_.push_back(start);
+    }
     while (order_.size() > maxDepartures) {
         departures_.erase(order_.front());
         order_.pop_front();
--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -189,7 +189,12 @@
     journal_.record(
         LogCategory::Config, "", fmt::format("{}, starting a full read era={} revision={}", reason, position_.era, position_.revision));
     needsFullRead_ = true;
-    startNextCall();
+    if (lostHistories_++ == 0) {
+        startNextCall();
+        return;
+    }
+    // A part of the source may be behind another; calls without a pause would not change that.
+    scheduleNextCall(nextBackoff());
 }
 
 void DiscoveryController::onWatchResult(const DiscoveryReadResult &result)
@@ -208,6 +213,7 @@
         return;
     }
     const StatePosition before = position_;
+    lostHistories_ = 0;
     apply(result);
     if (result.fromFallbackPeer && position_ != before) {
         journal_.record(LogCategory::Config,
@@ -305,7 +311,8 @@
 
 Duration DiscoveryController::nextBackoff()
 {
-    const Duration longest = std::min(maxBackoff, firstBackoff * (1U << std::min(failures_, maxBackoffDoublings)));
+    const Duration longest
+        = std::min(maxBackoff, firstBackoff * (1U << std::min(std::max(failures_, lostHistories_), maxBackoffDoublings)));
     // Random between half and all of it, so that hosts that lost the source together do not retry together.
     return longest / 2 + Duration(std::uniform_int_distribution<Duration::rep>(0, longest.count() / 2)(random_));
 }
--- a/src/discovery/DiscoveryController.h
+++ b/src/discovery/DiscoveryController.h
@@ -74,6 +74,7 @@
     bool needsFullRead_ = true;      // Whether the next call must be a full read.
     bool hasRead_ = false;
     bool isWaitSkipped_ = false;               // Whether the next watch must not wait for changes.
+    unsigned lostHistories_ = 0;               // Consecutive watches that were answered by a lost history.
     unsigned failures_ = 0;                    // Consecutive failed calls.
     std::optional<TimePoint> lapseGraceStart_; // Start of the last grace period for lapsed entries.
     TimerId timer_ = TimerId::None;
--- a/tests/unit/DiscoveryTest.cpp
+++ b/tests/unit/DiscoveryTest.cpp
@@ -27,6 +27,7 @@
 
     CancelFunction handle(ServiceRequest request, ReplyHandler handler) override
     {
+        ++calls;
         if (!available) {
             handler({503, "application/json", "{}"});
             return {};
@@ -34,11 +35,16 @@
         if (request.target.starts_with("/api/kv-range")) {
             const std::string item = published_.empty() ? "" : itemOf(lastRevision());
             const std::string body = fmt::format(R"({{"items":[{}],"truncated":false,"store_revision":{}}})", item, lastRevision());
-            send({200, "application/json", body}, std::move(handler));
+            const std::vector<WireHeader> era{{"Store-Era", "1"}};
+            send({200, "application/json", body, false, namesOtherEraInWatches ? era : std::vector<WireHeader>()}, std::move(handler));
             return {};
         }
         constexpr std::string_view after = "after=";
         const std::int64_t revision = std::stoll(request.target.substr(request.target.find(after) + after.size()));
+        if (namesOtherEraInWatches) {
+            send({200, "application/json", R"({"events":[],"store_revision":9})", false, {{"Store-Era", "2"}}}, std::move(handler));
+            return {};
+        }
         if (revision < lastRevision()) {
             send(changesSince(revision), std::move(handler));
             return {};
@@ -75,6 +81,8 @@
     }
 
     bool available = true;
+    bool namesOtherEraInWatches = false; ///< Whether watches are answered at once, and of another era than full reads.
+    unsigned calls = 0;
     double bytesPerSecond = 1e9; ///< Of the link on which the responses arrive.
 
 private:
@@ -211,3 +219,19 @@
     constexpr unsigned routesOfLargestVersions = 4'000;
     checkDelayAfterOutage(fixture, routesOfLargestVersions);
 }
+
+// Guards against calls without a pause while a part of the source is behind.
+TEST_CASE("discovery: a source whose responses disagree on the era is not called more than ten times a second")
+{
+    DiscoveryFixture fixture;
+    fixture.store.publish(1);
+    fixture.run(seconds(3));
+    fixture.store.namesOtherEraInWatches = true;
+    fixture.store.publish(1);
+    fixture.run(seconds(7));
+    const unsigned before = fixture.store.calls;
+    fixture.run(seconds(10));
+    constexpr unsigned maxCalls = 100;
+    CHECK(fixture.store.calls - before > 0);
+    CHECK(fixture.store.calls - before <= maxCalls);
+}
