Probe targets for as long as contact with them is lost

What callers would see: all requests of a host go to other hosts for good. Cause, found by reading the diff: probing ended when the evidence of silence was cleared by a late response on an old connection, while contact counted as lost until a connect succeeds, which then nobody tried. Change: while contact is lost, only a connect ends the probing. The new test failed before (no probe in a second).

--- a/src/forward/TargetContact.cpp
+++ b/src/forward/TargetContact.cpp
@@ -108,7 +108,8 @@
 
 void TargetContact::check(std::optional<TimePoint> probedAt)
 {
-    if (!isInDoubt() || (probedAt && lastConnectAt_ >= *probedAt)) {
+    const bool isDispelled = !isInDoubt() || (probedAt && lastConnectAt_ >= *probedAt);
+    if (!lost_ && isDispelled) {
         checking_ = false;
         return;
     }
--- a/tests/unit/HandoffTest.cpp
+++ b/tests/unit/HandoffTest.cpp
@@ -3,6 +3,7 @@
  */
 #include "ForwardFixture.h"
 #include "Fuzzing.h"
+#include "forward/TargetContact.h"
 #include "handoff/HandoffController.h"
 #include "handoff/HandoffMessages.h"
 
@@ -349,6 +350,37 @@
     CHECK(inVain <= 1);
 }
 
+// Guards against a host that stops probing, and so never serves its callers itself again, because of a late response.
+TEST_CASE("handoff: contact that is lost is probed until a connect succeeds, whatever responses arrive on old connections")
+{
+    ManualTime time;
+    ProcessTime process(time, {});
+    Counters counters;
+    Journal journal(
+        process, [](std::string_view) {}, 100);
+    TargetContact contact(process, process, journal, counters);
+    unsigned probes = 0;
+    TargetContact::Listener listener;
+    listener.probe = [&probes] { ++probes; };
+    contact.setListener(std::move(listener));
+    for (const char *target : {"t1", "t2", "t3"}) {
+        contact.recordSilence(target);
+    }
+    time.runUntil(time.now() + seconds(1));
+    REQUIRE(contact.isLost());
+    contact.recordResponse();
+    time.runUntil(time.now() + seconds(1));
+    const unsigned before = probes;
+    time.runUntil(time.now() + seconds(1));
+    CHECK(contact.isLost());
+    CHECK(probes > before);
+    contact.recordConnect();
+    CHECK_FALSE(contact.isLost());
+    const unsigned last = probes;
+    time.runUntil(time.now() + seconds(5));
+    CHECK(probes == last);
+}
+
 TEST_CASE("handoff: messages keep all bytes, and damaged or wrongly signed ones are refused")
 {
     const HandoffCodec codec("key");
