--- a/src/forward/CrashGuard.cpp
+++ b/src/forward/CrashGuard.cpp
@@ -68,9 +68,11 @@
     LossGroup *group = findGroup(record, [&](const LostInstance &one) { return one.instance == loss.instance || sentAt < one.lostAt; });
     if (group != nullptr) {
         group->losses.push_back(loss);
+        counters_.add("magnoliaspan_crash_losses_total{end=\"joined\"}");
         return;
     }
     record.groups.push_back({{loss}, false});
+    counters_.add("magnoliaspan_crash_losses_total{end=\"counted\"}");
     logLoss(request, record, target.id);
 }
 
@@ -101,9 +103,10 @@
 {
     for (auto &[request, record] : records_) {
         for (LossGroup &group : record.groups) {
-            std::erase_if(group.losses, [&](const LostInstance &one) {
+            const auto withdrawn = std::erase_if(group.losses, [&](const LostInstance &one) {
                 return !group.reported && one.instance == instance && now - one.lostAt <= confirmationTime;
             });
+            counters_.add("magnoliaspan_crash_losses_total{end=\"withdrawn\"}", withdrawn);
         }
         std::erase_if(record.groups, [](const LossGroup &group) { return group.losses.empty(); });
     }
@@ -115,6 +118,7 @@
     if (records_.empty() || records_.erase(request) == 0) {
         return;
     }
+    counters_.add("magnoliaspan_crash_losses_total{end=\"cleared\"}");
     journal_.record(LogCategory::Quarantine, "", fmt::format("request cleared fingerprint={:016x}", static_cast<std::uint64_t>(request)));
 }
 
@@ -125,6 +129,7 @@
         return;
     }
     record.groups.push_back({{{report.targetInstance, clock_.now()}}, true});
+    counters_.add("magnoliaspan_crash_losses_total{end=\"received\"}");
     logLoss(report.request, record, "another host");
 }
 
