--- a/tests/unit/ForwardFixture.cpp
+++ b/tests/unit/ForwardFixture.cpp
@@ -150,6 +150,10 @@
         return {};
     }
     ++runs[headerOf(request.headers, "id")];
+    if (!crashingPath.empty() && request.target == crashingPath) {
+        time_.callAt(time_.now() + crashDelay, crash);
+        return {};
+    }
     if (now == Behaviour::Fail || now == Behaviour::FailUnavailable) {
         handler({now == Behaviour::Fail ? 500U : 503U, "", "", false, {{"signature", id}}});
         return {};
@@ -230,11 +234,35 @@
     if (location.zone != "here") {
         network.link("host", id).delay = awayDelay;
     }
-    target->crash = [this, address = entry.address.toString()] { network.remove(address); };
+    target->crash = [this, name = id, address = entry.address.toString()] {
+        // A second request that crashes the same instance changes nothing.
+        if (network.find(address)->service != nullptr) {
+            network.remove(address);
+            crashed.push_back(name);
+        }
+    };
     entries_[id] = entry;
     return *(targets[id] = std::move(target));
 }
 
+void ForwardFixture::restart(std::span<const std::string> ids)
+{
+    std::vector<DiscoveryChange> changes;
+    for (const std::string &id : ids) {
+        const TargetEntry old = entries_.at(id);
+        const FakeTarget &before = *targets.at(id);
+        const std::string newId = id + "'";
+        FakeTarget &target = addTarget(newId, {old.service, old.zone, old.slots});
+        target.work = before.work;
+        target.crashingPath = before.crashingPath;
+        target.crashDelay = before.crashDelay;
+        entries_.erase(id);
+        changes.emplace_back(TargetRemoved{id});
+        changes.emplace_back(TargetPublished{entries_.at(newId)});
+    }
+    change(std::move(changes));
+}
+
 std::vector<std::string> ForwardFixture::addShards(const std::string &prefix, unsigned shards, unsigned replicas)
 {
     std::vector<std::string> names;
--- a/tests/unit/ForwardFixture.h
+++ b/tests/unit/ForwardFixture.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -83,6 +84,8 @@
     std::optional<double> limit;                             ///< Stated in each response that is no refusal.
     std::function<Behaviour(unsigned arrival)> behaviourFor; ///< Overrides behaviour for each arrival when set.
     std::function<void()> crash;                             ///< Called for Behaviour::Crash.
+    std::string crashingPath;                                ///< Requests with this path crash the target when set.
+    Duration crashDelay{};                                   ///< Time from the arrival of such a request to the crash.
     unsigned arrivals = 0;
     unsigned cancelled = 0;
     std::map<std::string, unsigned> runs; ///< By request id.
@@ -145,6 +148,9 @@
 
     TargetEntry entryOf(const std::string &id) const;
 
+    /// Publishes a new target in place of each of \p ids, which crashed.
+    void restart(std::span<const std::string> ids);
+
     /// Sends one request to host "h", path "/" + \p route + "/x".
     std::shared_ptr<CallerResponse>
     call(const std::string &route, Duration timeout = std::chrono::seconds(2), const std::string &method = "GET");
@@ -170,6 +176,7 @@
     FakeDatagrams datagrams{time};
     std::unique_ptr<DatagramPort> peers = datagrams.bind({"10.0.0.1", 7741});
     std::vector<std::string> log;
+    std::vector<std::string> crashed; ///< Ids of targets, in the order of their crashes.
     ForwardLimits limits;
     std::uint64_t seed = 1; ///< Of the host.
     std::map<std::string, std::unique_ptr<FakeTarget>> targets;
--- a/tests/unit/GossipTest.cpp
+++ b/tests/unit/GossipTest.cpp
@@ -303,3 +303,19 @@
     });
     CHECK(readable > 0);
 }
+
+TEST_CASE("membership: a host that starts later learns the reports of crashes that all others know")
+{
+    GossipHosts fixture(6);
+    fixture.run(seconds(10));
+    CrashReport report;
+    report.request = Fingerprint{42};
+    report.targetInstance = 7;
+    fixture.hosts.at(3).gossip->reportCrash(report);
+    // Long enough for all transmissions of the report to be over.
+    fixture.run(minutes(2));
+    fixture.start(5, 2'000);
+    fixture.run(seconds(2));
+    REQUIRE(fixture.hosts.at(5).receivedReports.size() == 1);
+    CHECK(fixture.hosts.at(5).receivedReports.front().request == Fingerprint{42});
+}
