Resume a deferred call whose hedge timer was still armed

Cause: the timer of the attempt that was lost stayed armed while the call waited for a trial, so that the end of the trial was taken for something the timer would handle, and the timer found nothing to hedge. The new test failed before (no response within 500 ms) and passes now.

--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -134,6 +134,8 @@
 void ShardCall::waitForTrials()
 {
     cause_ = "other targets run this request first, as it may crash them";
+    environment_.scheduler.cancel(timer_);
+    timer_ = TimerId::None;
     environment_.counters.add("magnoliaspan_sends_deferred_total");
     environment_.crashGuard.waitForTrials(context_->fingerprint, [weak = weak_from_this()] {
         const auto self = weak.lock();
--- a/tests/unit/CrashingRequestTest.cpp
+++ b/tests/unit/CrashingRequestTest.cpp
@@ -6,8 +6,10 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <map>
 #include <optional>
 #include <span>
+#include <utility>
 
 using namespace magnoliaspan;
 using namespace magnoliaspan::testing;
@@ -179,3 +181,21 @@
     fixture.run(milliseconds(200));
     CHECK(response->status == 200);
 }
+
+TEST_CASE("crashes: pattern targets of several shards lost together, the retries of all shards follow within the latency goal")
+{
+    CrashFixture fixture(0, 0.89);
+    std::map<char, bool> lostOne; // By the digit of the shard.
+    for (const auto &[id, target] : fixture.targets) {
+        target->work = milliseconds(5);
+        target->behaviourFor = [&lostOne, shard = id.at(1)](unsigned) {
+            const bool first = shard < '4' && !std::exchange(lostOne[shard], true);
+            return first ? Behaviour::Crash : Behaviour::Answer;
+        };
+    }
+    const auto response = fixture.call("good");
+    fixture.run(milliseconds(500));
+    CHECK(response->status == 200);
+    CHECK(response->header("missing") == "0");
+    CHECK(response->took < milliseconds(100));
+}
--- a/tests/unit/GossipTest.cpp
+++ b/tests/unit/GossipTest.cpp
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 using namespace magnoliaspan;
 using namespace magnoliaspan::testing;
@@ -380,3 +381,23 @@
     CHECK_FALSE(read->crashDigest);
     CHECK(read->position == StatePosition{2, 17});
 }
+
+TEST_CASE("membership: datagrams keep the fields that hosts of release 463ba33 read, and add others behind them")
+{
+    PeerDatagram datagram;
+    datagram.sender = {"h1", "z1", addressOf(1), 1'000, HostState::Alive};
+    datagram.position = {2, 17};
+    datagram.crashes = {lossReport(7, 5), {{CrashReportKind::Survival, Fingerprint{7}, 3}, 3, CrashReportAges{}}};
+    datagram.crashDigest = 99;
+    const auto fields = nlohmann::json::parse(PeerDatagramCodec("key").encode(datagram).substr(33));
+    CHECK(fields.at(0) == 1);
+    CHECK(fields.at(5) == 17);
+    // That release takes each entry for a loss, so that survivals must not be among them.
+    REQUIRE(fields.at(7).size() == 1);
+    CHECK(fields.at(7).at(0).at(0) == 7);
+    CHECK(fields.at(7).at(0).at(1) == 5);
+    CHECK(fields.at(9) == 2);
+    CHECK(fields.at(10) == true);
+    CHECK(fields.at(11).size() == 1);
+    CHECK(fields.at(12) == 99);
+}
