End a trial that is late, so that other shards do not wait for a target that hangs

Callers saw: 504 after their deadline when one shard had lost a target and its next one hung: the call has no hedge timer once two attempts run, so that the trial never ended. Found by reading the change; the test failed before (no response in 500 ms) and passes now. The decoder of reports refuses ages that are out of order.

--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -128,9 +128,24 @@
     }
     sentAttempts_ += replica->isQueued(attempt.id) ? 0 : 1;
     armHedgeTimer();
+    endTrialWhenLate(attempt);
     return StartResult::Started;
 }
 
+// Other shards do not wait for a target that may be hanging.
+void ShardCall::endTrialWhenLate(const Attempt &attempt)
+{
+    if (!attempt.trial) {
+        return;
+    }
+    const TimePoint late = attempt.startedAt + attempt.connectTime + hedgeDelay(attempt.expectedLatency, context_->single);
+    environment_.scheduler.callAt(late, [weak = std::weak_ptr<CrashTrial>(attempt.trial)] {
+        if (const auto trial = weak.lock()) {
+            trial->end();
+        }
+    });
+}
+
 void ShardCall::waitForTrials()
 {
     cause_ = "other targets run this request first, as it may crash them";
@@ -203,6 +218,10 @@
         return;
     }
     const Attempt first = running_.front();
+    // A hedge may be needed earlier than the trial ends by itself.
+    if (first.trial) {
+        first.trial->end();
+    }
     if (first.replica->isQueued(first.id)) {
         moveQueuedAttempt(first);
         return;
@@ -213,10 +232,6 @@
         return;
     }
     cause_ = "late";
-    // A target that is late is not crashing; others need not wait for it any longer.
-    if (first.trial) {
-        first.trial->end();
-    }
     if (startAttempt(AttemptReason::Hedge) != StartResult::Started) {
         armHedgeTimerAt(environment_.clock.now() + hedgeRetryInterval);
     }
--- a/src/forward/ShardCall.h
+++ b/src/forward/ShardCall.h
@@ -84,6 +84,7 @@
 
     StartResult startAttempt(AttemptReason reason, std::shared_ptr<CrashTrial> trial = nullptr);
     void waitForTrials();
+    void endTrialWhenLate(const Attempt &attempt);
     void moveQueuedAttempt(const Attempt &first);
     bool scheduleRetry();
     void onRetryTimer();
--- a/src/membership/PeerDatagram.cpp
+++ b/src/membership/PeerDatagram.cpp
@@ -94,6 +94,9 @@
     if (fields.size() > serviceIndex) {
         report.service = fields.at(serviceIndex).get<std::uint64_t>();
         report.ages = CrashReportAges{ageFromJson(fields.at(serviceIndex + 1)), ageFromJson(fields.at(serviceIndex + 2))};
+        if (report.ages->sent < report.ages->ended) {
+            throw std::invalid_argument("ages of a crash report are out of order: sent after the target was lost");
+        }
     }
     return report;
 }
--- a/tests/unit/CrashingRequestTest.cpp
+++ b/tests/unit/CrashingRequestTest.cpp
@@ -199,3 +199,24 @@
     CHECK(response->header("missing") == "0");
     CHECK(response->took < milliseconds(100));
 }
+
+TEST_CASE("crashes: pattern a trial that hangs, other shards do not wait for it")
+{
+    CrashFixture fixture(0, 0.89);
+    std::map<char, unsigned> arrivals; // By the digit of the shard.
+    for (const auto &[id, target] : fixture.targets) {
+        target->work = milliseconds(5);
+        target->behaviourFor = [&arrivals, shard = id.at(1)](unsigned) {
+            const unsigned number = ++arrivals[shard];
+            if (shard < '3' && number == 1) {
+                return Behaviour::Crash;
+            }
+            return shard == '0' ? Behaviour::Silent : Behaviour::Answer;
+        };
+    }
+    const auto response = fixture.call("good");
+    fixture.run(milliseconds(500));
+    CHECK(response->status == 200);
+    CHECK(response->header("missing") == "1");
+    CHECK(response->took <= milliseconds(100));
+}
