Do not take the word of another new host that there are no crash reports

Callers saw nothing of it yet. Now datagrams say whether their sender is informed; the word of another new host counts after 300 ms only, when a host that knows more has answered. The new test failed before (both ready after 100 ms, no report received) and passes; hosts that all start at once are ready within half a second. Ruled out: waiting for an informed host for the full second, as after a loss of power there is none.

--- a/src/membership/GossipController.cpp
+++ b/src/membership/GossipController.cpp
@@ -37,6 +37,8 @@
 constexpr Duration resendInterval = std::chrono::seconds(1);
 // Several exchanges with other hosts; a host that reaches none of them is not kept from serving for longer.
 constexpr Duration maxCrashReportWait = std::chrono::seconds(1);
+// Hosts that start together agree at once that nothing is known; a host that knows more answers the first probe by then.
+constexpr Duration newHostsWait = std::chrono::milliseconds(300);
 // Transmissions of an update per doubling of the number of hosts (SWIM proves that a small multiple is enough). New members
 // are many when all hosts start together, and are also part of the samples; other updates are few and urgent.
 constexpr unsigned newMemberTransmissions = 1;
@@ -220,7 +222,8 @@
         return;
     }
     const bool agrees = *datagram.crashDigest == crashReports_.digest();
-    crashReportsAgreed_ = crashReportsAgreed_ || agrees;
+    crashReportsAgreed_ = crashReportsAgreed_ || (agrees && datagram.hasCrashReports);
+    crashReportsAgreedByNewHost_ = crashReportsAgreedByNewHost_ || agrees;
     if (agrees || datagram.type == DatagramType::Update || crashReports_.size() == 0 || clock_.now() < nextResendAt_) {
         return;
     }
@@ -363,7 +366,8 @@
 
 bool GossipController::hasCrashReports() const
 {
-    return crashReportsAgreed_ || clock_.now() - startedAt_ >= maxCrashReportWait;
+    const Duration sinceStart = clock_.now() - startedAt_;
+    return crashReportsAgreed_ || sinceStart >= maxCrashReportWait || (crashReportsAgreedByNewHost_ && sinceStart >= newHostsWait);
 }
 
 void GossipController::schedulePush()
@@ -411,6 +415,7 @@
     datagram.position = position_;
     datagram.reachesTargets = reachesTargets_;
     datagram.crashDigest = crashReports_.digest();
+    datagram.hasCrashReports = hasCrashReports();
     return datagram;
 }
 
--- a/src/membership/GossipController.h
+++ b/src/membership/GossipController.h
@@ -149,8 +149,9 @@
     UpdateQueue<std::string> stateChangeQueue_; // Names of hosts whose state changed.
     CrashReportBuffer crashReports_;
     TimePoint startedAt_;
-    TimePoint nextResendAt_{};                                         // When crash reports may be sent again to a host that lacks some.
-    bool crashReportsAgreed_ = false;                                  // Whether any other host had the same reports since the start.
+    TimePoint nextResendAt_{};                 // When crash reports may be sent again to a host that lacks some.
+    bool crashReportsAgreed_ = false;          // Whether a host that has all reports had the same ones as this host since the start.
+    bool crashReportsAgreedByNewHost_ = false; // The same of any host.
     std::map<std::string, TimePoint, std::less<>> suspicionDeadlines_; // When a suspect becomes gone, by name.
     std::map<std::uint64_t, std::string> pendingProbes_;               // Unacknowledged, by number; no name for a seed.
     std::uint64_t lastProbeNumber_ = 0;
--- a/src/membership/PeerDatagram.cpp
+++ b/src/membership/PeerDatagram.cpp
@@ -148,6 +148,7 @@
             datagram.crashes.push_back(survivalFromJson(survival));
         }
         datagram.crashDigest = fields.at(survivalsIndex + 1).get<std::uint64_t>();
+        datagram.hasCrashReports = fields.at(survivalsIndex + 2).get<bool>();
     }
     return datagram;
 }
@@ -199,6 +200,7 @@
     fields.push_back(datagram.reachesTargets);
     fields.push_back(std::move(survivals));
     fields.push_back(datagram.crashDigest.value_or(0));
+    fields.push_back(datagram.hasCrashReports);
     const std::string body = fields.dump(-1, ' ', false, json::error_handler_t::replace);
     return fmt::format("{} {}", hmacSha256(key_, body).substr(0, digestDigits), body);
 }
--- a/src/membership/PeerDatagram.h
+++ b/src/membership/PeerDatagram.h
@@ -36,6 +36,7 @@
     std::vector<Member> members;
     std::vector<CrashReport> crashes;
     std::optional<std::uint64_t> crashDigest; ///< Of all reports that the sender knows; not sent by hosts of an earlier release.
+    bool hasCrashReports = false;             ///< Whether the sender has found out which reports other hosts know; false with no digest.
     std::optional<LoadSample> load;           ///< Invariant: set if, and only if, the type is LoadExchange or LoadAnswer.
 };
 
--- a/tests/unit/GossipTest.cpp
+++ b/tests/unit/GossipTest.cpp
@@ -354,6 +354,36 @@
     CHECK(fixture.datagrams.largest <= PeerDatagramCodec::maxBytes);
 }
 
+// Guards against hosts that restart together and are ready because they agree that nothing is known.
+TEST_CASE("membership: a host that has just started does not go by another new one that there are no reports")
+{
+    GossipHosts fixture(6);
+    fixture.run(seconds(10));
+    fixture.hosts.at(3).gossip->reportCrash(lossReport(42, 7));
+    fixture.run(minutes(2));
+    const auto isNew = [](const Endpoint &host) { return host == addressOf(0) || host == addressOf(5); };
+    fixture.datagrams.shouldDeliver = [&isNew](const Endpoint &from, const Endpoint &to) { return isNew(from) && isNew(to); };
+    fixture.start(0, 2'000);
+    fixture.start(5, 2'000);
+    fixture.run(milliseconds(100));
+    CHECK_FALSE(fixture.hosts.at(5).gossip->hasCrashReports());
+    CHECK_FALSE(fixture.hosts.at(0).gossip->hasCrashReports());
+    fixture.datagrams.shouldDeliver = nullptr;
+    while (!fixture.hosts.at(5).gossip->hasCrashReports()) {
+        fixture.run(milliseconds(10));
+    }
+    CHECK(fixture.hosts.at(5).receivedReports.size() == 1);
+}
+
+TEST_CASE("membership: hosts that all start at once are ready within half a second, though none knows more than the others")
+{
+    GossipHosts fixture(6);
+    fixture.run(milliseconds(500));
+    for (const auto &[number, host] : fixture.hosts) {
+        CHECK(host.gossip->hasCrashReports());
+    }
+}
+
 TEST_CASE("membership: hosts that were cut off while a report was sent learn it after the cut")
 {
     GossipHosts fixture(6);
