Charge a retry to the budget when the reset of a new connection may have come from a target that had read the request

A reset of a new connection was taken for that of a full target, which had not read the request, and the retry was free. Targets that break connections do so on new ones too. Now it is free only if the connection had not stayed open for a round trip before, and the target broke no older one within 5 s. Test: 558 arrivals before, bound 490; failed before, passes now.

--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -27,6 +27,8 @@
 constexpr unsigned maxDoublings = 5;
 // A target needs longer than this beyond a round trip to read and run a request.
 constexpr Duration rejectionSlack = std::chrono::milliseconds(2);
+// A target that breaks connections which it had accepted goes on doing so for seconds.
+constexpr Duration lossMemory = std::chrono::seconds(5);
 // A host that has just started may replace one that lost power, whose dead connections still count at the target.
 constexpr unsigned initialLocalConnections = 2;
 constexpr unsigned initialRemoteConnections = 1;
@@ -382,9 +384,11 @@
     }
     if (result.outcome == AttemptOutcome::Lost && pooled.fresh && result.elapsed <= pooled.connectDuration + rejectionSlack) {
         result.outcome = AttemptOutcome::ConnectionRejected;
+        result.hasArrived = mayHaveAccepted(pooled, *running->second.sentAt);
         onConnectionRejected();
     } else if (result.outcome == AttemptOutcome::Lost) {
         recordFailure("connection lost");
+        lastLossAt_ = environment_.clock.now();
     }
     if (pooled.fresh && !broken) {
         found->second.fresh = false;
@@ -403,6 +407,14 @@
     finish(attemptId, std::move(result));
 }
 
+// A full target resets a new connection within a round trip, whether a request was sent on it or not, and no older ones.
+bool Replica::mayHaveAccepted(const PooledConnection &pooled, TimePoint sentAt) const
+{
+    const TimePoint connectedAt = pooled.openedAt + pooled.connectDuration;
+    const bool stayedOpen = sentAt - connectedAt > pooled.connectDuration + rejectionSlack;
+    return stayedOpen || (lastLossAt_ && environment_.clock.now() - *lastLossAt_ <= lossMemory);
+}
+
 // Called for each attempt that was sent and not cancelled, whether anybody waits for its response or not.
 void Replica::notifyCrashGuard(const Attempt &attempt, const AttemptResult &result, bool responded)
 {
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -43,6 +43,7 @@
     AttemptOutcome outcome = AttemptOutcome::NeverSent;
     TargetResponse response;                            ///< Set for Answered and NotRun.
     Duration elapsed{};                                 ///< Since it was sent.
+    bool hasArrived = true;                             ///< Whether the target may have read it; may be false for ConnectionRejected.
     std::optional<Duration> connectTime = std::nullopt; ///< Taken to open the connection, if it was the first attempt on it.
 };
 
@@ -184,6 +185,7 @@
     std::size_t connectingCount() const;
     void recordLatency(const Attempt &attempt, Duration elapsed);
     void applyRequestLimit(const Attempt &attempt, const TargetResponse &response);
+    bool mayHaveAccepted(const PooledConnection &pooled, TimePoint sentAt) const;
     void classifyReply(Attempt &attempt, AttemptResult &result, WireReply reply);
     void onConnectionIdle(ConnectionId id);
     void onClosed(ConnectionId id);
@@ -217,8 +219,9 @@
     std::uint64_t lastConnection_ = 0;
     unsigned allowedConnections_; // Raised by each new connection that works, lowered when one is rejected.
     bool retired_ = false;
-    std::optional<TimePoint> lossAt_; // Of the last connection lost with a request on it, until a later connect succeeds or fails.
-    TimePoint connectBackoffUntil_{}; // Set while the target accepts no further connections.
+    std::optional<TimePoint> lastLossAt_; // Of the last exchange lost, but for those on a new connection that was reset at once.
+    std::optional<TimePoint> lossAt_;     // Of the last connection lost with a request on it, until a later connect succeeds or fails.
+    TimePoint connectBackoffUntil_{};     // Set while the target accepts no further connections.
     unsigned consecutiveRejections_ = 0;
     TargetRequestLimit requestLimit_;
     std::shared_ptr<int> lifetimeToken_; // Callbacks hold it weakly and do nothing once the replica is destroyed.
--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -266,7 +266,7 @@
         replicas_.recordConnectTime(attempt.replica->limits().otherRegion, *result.connectTime);
     }
     const bool sent = result.outcome != AttemptOutcome::NeverSent && result.outcome != AttemptOutcome::Withheld;
-    if (result.outcome == AttemptOutcome::ConnectionRejected) {
+    if (!result.hasArrived) {
         sentAttempts_ -= std::min(sentAttempts_, 1U);
     } else if (sent) {
         sentAttempts_ = std::max(sentAttempts_, 1U);
--- a/tests/unit/ForwardTest.cpp
+++ b/tests/unit/ForwardTest.cpp
@@ -321,6 +321,37 @@
     CHECK(fixture.arrivals() > requests);
 }
 
+// Guards against resets that are taken for those of a full target, after which a retry does not use the budget.
+TEST_CASE("forward: pattern replicas that reset half of their requests at once, extra sends stay within ratio and slack")
+{
+    ForwardFixture fixture;
+    fixture.limits.extraSendRatio = 0.2;
+    fixture.limits.extraSendSlack = 10;
+    for (const char *id : {"t1", "t2", "t3", "t4"}) {
+        FakeTarget &target = fixture.addTarget(id, {"s", "there", 8});
+        target.work = milliseconds(1);
+        target.behaviourFor = [&link = fixture.network.link("host", id)](unsigned arrival) {
+            // The connection breaks instead of the response.
+            link.losesReplies = arrival % 2 == 0;
+            return link.losesReplies ? Behaviour::Fail : Behaviour::Answer;
+        };
+    }
+    // Each kind is another request, so that none of them is refused.
+    constexpr unsigned kinds = 50;
+    std::vector<Route> routes;
+    for (unsigned kind = 0; kind < kinds; ++kind) {
+        routes.push_back(ForwardFixture::route(std::to_string(kind), ServiceDestination{"s"}));
+    }
+    fixture.publish(std::move(routes));
+    constexpr unsigned requests = 400;
+    for (unsigned request = 0; request < requests; ++request) {
+        fixture.call(std::to_string(request % kinds));
+        fixture.run(milliseconds(10));
+    }
+    CHECK(fixture.arrivals() <= requests + requests / 5 + 10);
+    CHECK(fixture.arrivals() > requests);
+}
+
 TEST_CASE("forward: pattern moment of overload, a request that every replica shed is retried before its latency goal")
 {
     ForwardFixture fixture;
