Obey what targets say of themselves: that they leave, and that they want no requests for a while

Nothing read either header. Queued attempts are moved. A request that too many paused services would have to serve is refused at once, not run, with the end of the pause. A service whose last target begins to leave is served for a second more; before, requests were refused as soon as it was published as draining. Ruled out: keeping the statements in Replica, which is made anew when an entry lapses. Left: responses to other requests, and those that break off after their head, are not read for statements.

--- a/src/forward/ForwardMessages.h
+++ b/src/forward/ForwardMessages.h
@@ -36,6 +36,20 @@
     double perSecond = 0; ///< Finite and not negative; valid for Stated.
 };
 
+/// \brief The time for which a target that refuses a request wants no others from this host.
+struct RequestedPause {
+    /// What the response says.
+    enum class Kind {
+        None,      ///< No pause.
+        Stated,    ///< The pause duration.
+        Malformed, ///< A pause that cannot be read.
+    };
+
+    Kind kind = Kind::None;
+    Duration duration{};   ///< Not negative; valid for Stated.
+    std::string malformed; ///< The value that cannot be read, shortened; empty if all can be read.
+};
+
 /// \brief Response of a target.
 struct TargetResponse {
     unsigned status = 0;
@@ -46,6 +60,8 @@
     std::string signature;             ///< Of this response; empty if it has none.
     std::optional<Duration> keepAlive; ///< How long the target keeps an idle connection, if it says so.
     RequestLimit limit;                ///< The rate of requests that the target takes at present.
+    RequestedPause pause;              ///< Set in refusals only.
+    bool leaving = false;              ///< The target is about to leave, and takes new requests only for a while.
     std::string body;
     std::vector<WireHeader> headers = {}; ///< End-to-end fields, with the id and the signature.
 };
--- a/src/forward/ForwardOperation.cpp
+++ b/src/forward/ForwardOperation.cpp
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <fmt/format.h>
 #include <numeric>
+#include <random>
 #include <utility>
 
 namespace magnoliaspan {
@@ -24,6 +25,9 @@
 // A host that is cut off from all targets probes them at about this interval, and so do hosts that could serve instead.
 constexpr Duration lostContactRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration minRetryAfter = std::chrono::milliseconds(50);
+// Callers that are refused during a pause of targets return over this time after its end, or over this part of their time left.
+constexpr Duration maxReturnDelay = std::chrono::milliseconds(500);
+constexpr int returnDelayDivisor = 10;
 
 // Callers take these statuses for a guarantee that the request has not run and never will.
 bool impliesNotRun(unsigned status)
@@ -121,10 +125,14 @@
     std::size_t reachable = 0;
     std::size_t inTime = 0;
     std::optional<Duration> minLateness;
+    std::vector<TimePoint> pauseEnds;
     for (const ServiceCall &call : calls_) {
         const ReplicaQuery query{call.shardCall->service(), context_->route->name, context_->route->allowedRegions, {}};
         const auto lateness = replicas_.lateness(query, context_->deadline);
         if (!lateness) {
+            if (const auto end = replicas_.pausedUntil(query)) {
+                pauseEnds.push_back(*end);
+            }
             continue;
         }
         ++reachable;
@@ -137,6 +145,10 @@
     const auto enough = [this](std::size_t count) {
         return shards_ == nullptr ? count == 1 : coverageReached(count, calls_.size(), shards_->minimumCoverage);
     };
+    if (!enough(reachable) && enough(reachable + pauseEnds.size())) {
+        refuseUntilPausesEnd(reachable, std::move(pauseEnds));
+        return false;
+    }
     if (!enough(reachable)) {
         servicesReachable_ = false;
         const std::string cause = fmt::format("{} of {} services have a reachable target", reachable, calls_.size());
@@ -153,6 +165,29 @@
     return true;
 }
 
+// Other hosts do not get the request: the targets ask for a pause because they are overloaded.
+void ForwardOperation::refuseUntilPausesEnd(std::size_t reachable, std::vector<TimePoint> pauseEnds)
+{
+    std::sort(pauseEnds.begin(), pauseEnds.end());
+    std::size_t ended = 1;
+    while (shards_ != nullptr && !coverageReached(reachable + ended, calls_.size(), shards_->minimumCoverage)) {
+        ++ended;
+    }
+    const Duration untilEnd = pauseEnds.at(ended - 1) - startedAt_;
+    const std::string cause = fmt::format(
+        "{} of {} services have a target that takes requests, {} asked for a pause", reachable, calls_.size(), pauseEnds.size());
+    deliver(refusalReply(statusUnavailable, cause, std::max(minRetryAfter, untilEnd) + returnDelay()), cause);
+}
+
+// Callers that were refused during a pause return one after the other, those with the least time left first.
+Duration ForwardOperation::returnDelay() const
+{
+    std::minstd_rand random(static_cast<unsigned>(std::hash<std::string>{}(context_->request.id)));
+    const double part = std::uniform_real_distribution<double>(0, 1)(random);
+    const Duration longest = std::min(maxReturnDelay, (context_->deadline - startedAt_) / returnDelayDivisor);
+    return std::chrono::duration_cast<Duration>(part * longest);
+}
+
 std::vector<std::string> ForwardOperation::services() const
 {
     std::vector<std::string> names;
@@ -361,8 +396,7 @@
     const TimePoint now = environment_.clock.now();
     std::optional<TimePoint> earliest;
     for (const ServiceCall &call : calls_) {
-        const auto retryAt
-            = replicas_.nextConnectRetry({call.shardCall->service(), context_->route->name, context_->route->allowedRegions, {}});
+        const auto retryAt = replicas_.nextRetry({call.shardCall->service(), context_->route->name, context_->route->allowedRegions, {}});
         if (retryAt && (!earliest || *retryAt < *earliest)) {
             earliest = retryAt;
         }
--- a/src/forward/ForwardOperation.h
+++ b/src/forward/ForwardOperation.h
@@ -93,6 +93,8 @@
     void deliver(ServiceReply reply, std::string_view outcome);
     Verdict verdict() const;
     Duration retryAfter() const;
+    Duration returnDelay() const;
+    void refuseUntilPausesEnd(std::size_t reachable, std::vector<TimePoint> pauseEnds);
     std::string describeMissing() const;
 
     const ForwardEnvironment &environment_;
--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -42,6 +42,10 @@
 constexpr Duration maxQueueTime = std::chrono::milliseconds(600);
 // A slow replica without a response for this long is probed by one request at a time.
 constexpr Duration staleAfter = std::chrono::seconds(1);
+// A target that asks for longer is taken to be in error, and is tried again after this time.
+constexpr Duration maxPause = std::chrono::minutes(1);
+constexpr int pauseSpreadDivisor = 10;
+constexpr Duration maxPauseSpread = std::chrono::milliseconds(250);
 
 // Of intervals between sends, 0 to 1: hosts that share a limit must not send at the same instants.
 double phaseOf(std::uint64_t seed, const std::string &target)
@@ -73,7 +77,10 @@
     return "lost";
 }
 
-Replica::Replica(const ForwardEnvironment &environment, TargetEntry entry, const ReplicaLimits &limits)
+Replica::Replica(const ForwardEnvironment &environment,
+                 TargetEntry entry,
+                 const ReplicaLimits &limits,
+                 std::shared_ptr<TargetStatement> statement)
     : environment_(environment)
     , entry_(std::move(entry))
     , limits_(limits)
@@ -81,8 +88,10 @@
     , concurrency_(limits.connections, limits.connections)
     , allowedConnections_(limits.otherRegion ? initialRemoteConnections : initialLocalConnections)
     , requestLimit_(phaseOf(environment.seed, entry_.id))
+    , statement_(std::move(statement))
     , lifetimeToken_(std::make_shared<int>(0))
 {
+    assert(statement_ != nullptr && "a replica needs the statement of its target");
     setTrafficShare(limits.trafficShare);
 }
 
@@ -120,9 +129,24 @@
     requestLimit_.setTrafficShare(share, environment_.clock.now());
 }
 
-bool Replica::hasAllowance() const
+std::optional<TimePoint> Replica::saidLeavingAt() const
 {
-    return requestLimit_.permitsRequest(environment_.clock.now());
+    return statement_->leavingSince;
+}
+
+TimePoint Replica::pausedUntil() const
+{
+    return statement_->pausedUntil;
+}
+
+bool Replica::isPaused() const
+{
+    return environment_.clock.now() < statement_->pausedUntil;
+}
+
+bool Replica::takesRequest() const
+{
+    return !isPaused() && requestLimit_.permitsRequest(environment_.clock.now());
 }
 
 void Replica::updateEntry(const TargetEntry &entry)
@@ -160,6 +184,14 @@
     }
 }
 
+// The calls choose again, possibly this replica.
+void Replica::withholdQueued()
+{
+    for (const AttemptId attempt : queue_.clear()) {
+        endAttempt(attempt, {AttemptOutcome::Withheld, {}, {}});
+    }
+}
+
 bool Replica::isRetired() const
 {
     return retired_;
@@ -467,6 +499,7 @@
         return;
     }
     applyRequestLimit(attempt, result.response);
+    applyStatements(result.response);
     result.outcome = result.response.notRun ? AttemptOutcome::NotRun : AttemptOutcome::Answered;
     if (!isSuccess(result.response)) {
         recordFailure(result.response.notRun ? "shed" : "failure answered");
@@ -495,6 +528,55 @@
                                       : fmt::format("target no longer limits requests target={}", entry_.id));
 }
 
+void Replica::applyStatements(const TargetResponse &response)
+{
+    if (response.leaving && !statement_->leavingSince) {
+        statement_->leavingSince = environment_.clock.now();
+        environment_.counters.add("magnoliaspan_targets_leaving_total");
+        environment_.journal.record(LogCategory::Target,
+                                    "",
+                                    fmt::format("target says that it leaves target={} status={} published={} queued={}",
+                                                entry_.id,
+                                                response.status,
+                                                entry_.stage == TargetStage::Ready ? "ready" : "draining",
+                                                queue_.size()));
+        withholdQueued();
+    }
+    applyPause(response.pause);
+}
+
+void Replica::applyPause(const RequestedPause &pause)
+{
+    if (!pause.malformed.empty()) {
+        environment_.counters.add("magnoliaspan_target_pauses_malformed_total");
+        environment_.journal.record(
+            LogCategory::Target,
+            "",
+            fmt::format("pause ignored, expected seconds as a number target={} value=\"{}\"", entry_.id, pause.malformed));
+    }
+    if (pause.kind != RequestedPause::Kind::Stated || pause.duration == Duration::zero()) {
+        return;
+    }
+    // Targets of one service end their pauses together, and the hosts must not all return at that instant.
+    const double phase = phaseOf(environment_.seed, entry_.id);
+    const Duration duration = std::min(pause.duration, maxPause);
+    const Duration spread = std::min(duration / pauseSpreadDivisor, maxPauseSpread);
+    const TimePoint until = environment_.clock.now() + duration + std::chrono::duration_cast<Duration>(phase * spread);
+    if (until <= statement_->pausedUntil) {
+        return;
+    }
+    environment_.counters.add("magnoliaspan_target_pauses_total");
+    environment_.journal.record(LogCategory::Target,
+                                "",
+                                fmt::format("target asks for a pause target={} pause_ms={} until_ms={} queued={}",
+                                            entry_.id,
+                                            std::chrono::duration_cast<std::chrono::milliseconds>(pause.duration).count(),
+                                            std::chrono::duration_cast<std::chrono::milliseconds>(until.time_since_epoch()).count(),
+                                            queue_.size()));
+    statement_->pausedUntil = until;
+    withholdQueued();
+}
+
 // Only successful responses count: refusals are fast and say nothing about how long a request takes.
 void Replica::recordLatency(const Attempt &attempt, Duration elapsed)
 {
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -14,6 +14,7 @@
 #include "forward/ReplicaHealth.h"
 #include "forward/ReplicaScore.h"
 #include "forward/TargetRequestLimit.h"
+#include "forward/TargetStatement.h"
 
 #include <cstdint>
 #include <functional>
@@ -30,7 +31,8 @@
     NotRun,             ///< The target states that it did not run it.
     OtherTarget,        ///< Another target has the address; it did not run it.
     NeverSent,          ///< No byte left this host.
-    Withheld,           ///< No byte left this host: the request became suspect of crashing targets while it was queued.
+    Withheld,           ///< No byte left this host: while it was queued, the request became suspect of crashing targets, or the
+                        ///< target said that it takes none.
     ConnectionRejected, ///< A new connection was reset before the target can have read the request; likely, but not certain.
     Lost,               ///< It may have run: the response is missing, incomplete or malformed.
 };
@@ -71,7 +73,11 @@
 class Replica
 {
 public:
-    Replica(const ForwardEnvironment &environment, TargetEntry entry, const ReplicaLimits &limits);
+    /// \param statement of the target instance, shared by all replicas of it; not null.
+    Replica(const ForwardEnvironment &environment,
+            TargetEntry entry,
+            const ReplicaLimits &limits,
+            std::shared_ptr<TargetStatement> statement = std::make_shared<TargetStatement>());
     ~Replica();
     Replica(const Replica &) = delete;
     Replica &operator=(const Replica &) = delete;
@@ -96,8 +102,15 @@
     /// \returns false if this host's share is used up.
     bool tryAcquireColdSend();
 
-    /// \returns whether the target states no limit of requests, or this host's part of it permits one now.
-    bool hasAllowance() const;
+    /// \returns when the target said in a response that it leaves; nothing if it did not.
+    std::optional<TimePoint> saidLeavingAt() const;
+
+    /// \returns until when the target wants no requests from this host; in the past if it takes them.
+    TimePoint pausedUntil() const;
+    bool isPaused() const;
+
+    /// \returns whether the target takes a request now: it asked for no pause, and this host's part of its limit permits one.
+    bool takesRequest() const;
 
     /// \brief Stops use of this instance: it is gone, or its address belongs to another target.
     /// Queued attempts end as NeverSent; running ones continue.
@@ -117,7 +130,7 @@
     TimePoint predictedCompletion(const std::string &workKind, const LatencyBaseline &baseline) const;
 
     /// \brief Sends a request on an idle or new connection, or queues it until one is free. Uses up a permission of
-    /// hasAllowance().
+    /// takesRequest().
     AttemptId send(AttemptOptions options);
 
     /// \returns whether the attempt still waits for a connection, so that no byte of it has left this host.
@@ -186,6 +199,9 @@
     void recordLatency(const Attempt &attempt, Duration elapsed);
     void applyRequestLimit(const Attempt &attempt, const TargetResponse &response);
     bool mayHaveAccepted(const PooledConnection &pooled, TimePoint sentAt) const;
+    void applyStatements(const TargetResponse &response);
+    void applyPause(const RequestedPause &pause);
+    void withholdQueued();
     void classifyReply(Attempt &attempt, AttemptResult &result, WireReply reply);
     void onConnectionIdle(ConnectionId id);
     void onClosed(ConnectionId id);
@@ -224,7 +240,8 @@
     TimePoint connectBackoffUntil_{};     // Set while the target accepts no further connections.
     unsigned consecutiveRejections_ = 0;
     TargetRequestLimit requestLimit_;
-    std::shared_ptr<int> lifetimeToken_; // Callbacks hold it weakly and do nothing once the replica is destroyed.
+    std::shared_ptr<TargetStatement> statement_; // Invariant: not null.
+    std::shared_ptr<int> lifetimeToken_;         // Callbacks hold it weakly and do nothing once the replica is destroyed.
 };
 
 } // namespace magnoliaspan
--- a/src/forward/ReplicaController.cpp
+++ b/src/forward/ReplicaController.cpp
@@ -31,9 +31,12 @@
 constexpr int halfLifeRequests = 8;
 constexpr int intervalWeight = 8;
 
+// An entry that lapsed is published again within seconds; one that was restored from an older copy may be much later.
+constexpr Duration statementRetention = std::chrono::minutes(10);
+
 bool isReady(const std::shared_ptr<Replica> &replica)
 {
-    return replica->entry().stage == TargetStage::Ready;
+    return replica->entry().stage == TargetStage::Ready && !replica->saidLeavingAt();
 }
 
 } // namespace
@@ -133,7 +136,7 @@
         found->second->updateEntry(entry);
     } else {
         retire(entry.id);
-        replicas_[entry.id] = std::make_shared<Replica>(environment_, entry, limitsFor(entry));
+        replicas_[entry.id] = std::make_shared<Replica>(environment_, entry, limitsFor(entry), statementOf(entry));
         index(entry);
     }
     if (entry.stage == TargetStage::Draining) {
@@ -143,6 +146,34 @@
     }
 }
 
+std::shared_ptr<TargetStatement> ReplicaController::statementOf(const TargetEntry &entry)
+{
+    KeptStatement &kept = statements_[{entry.id, entry.startedAt}];
+    if (!kept.statement) {
+        kept.statement = std::make_shared<TargetStatement>();
+    }
+    kept.lastUsed = environment_.clock.now();
+    return kept.statement;
+}
+
+// The published entry and the target's own word count alike; whichever came first.
+std::optional<TimePoint> ReplicaController::leavingSince(const Replica &replica) const
+{
+    const auto published = drainingSince_.find(replica.entry().id);
+    const auto said = replica.saidLeavingAt();
+    if (published == drainingSince_.end()) {
+        return said;
+    }
+    return said ? std::min(*said, published->second) : published->second;
+}
+
+// Whether it may get new requests, if only as the last one of its service.
+bool ReplicaController::isOpen(const Replica &replica) const
+{
+    const auto since = leavingSince(replica);
+    return !since || environment_.clock.now() - *since < maxDrainingUse;
+}
+
 void ReplicaController::onTargetRemoved(const std::string &id)
 {
     retire(id);
@@ -225,11 +256,9 @@
     ReplicaList warm;
     ReplicaList draining;
     ReplicaList cold;
-    const TimePoint now = environment_.clock.now();
     for (const auto &replica : all) {
-        if (replica->entry().stage == TargetStage::Draining) {
-            const auto since = drainingSince_.find(replica->entry().id);
-            if (since != drainingSince_.end() && now - since->second < maxDrainingUse) {
+        if (leavingSince(*replica)) {
+            if (isOpen(*replica) && replica->takesRequest()) {
                 draining.push_back(replica);
             }
             continue;
@@ -237,7 +266,7 @@
         (replica->isCold() ? cold : warm).push_back(replica);
     }
     ReplicaList allowed = warm;
-    std::erase_if(allowed, [](const auto &replica) { return !replica->hasAllowance(); });
+    std::erase_if(allowed, [](const auto &replica) { return !replica->takesRequest(); });
     if (auto replica = best(allowed, query)) {
         return replica;
     }
@@ -248,7 +277,7 @@
         return nullptr;
     }
     for (const auto &replica : cold) {
-        if (replica->hasAllowance() && replica->tryAcquireColdSend()) {
+        if (replica->takesRequest() && replica->tryAcquireColdSend()) {
             return replica;
         }
     }
@@ -258,7 +287,7 @@
 std::optional<Duration> ReplicaController::expectedDuration(const ReplicaQuery &query) const
 {
     ReplicaList warm = candidates(query);
-    std::erase_if(warm, [](const auto &replica) { return !isReady(replica) || replica->isCold() || !replica->hasAllowance(); });
+    std::erase_if(warm, [](const auto &replica) { return !isReady(replica) || replica->isCold() || !replica->takesRequest(); });
     const auto replica = best(warm, query);
     if (!replica) {
         return std::nullopt;
@@ -272,23 +301,41 @@
 bool ReplicaController::isAvailable(const ReplicaQuery &query) const
 {
     const ReplicaList all = candidates(query);
-    return std::any_of(all.begin(), all.end(), isReady);
+    return std::any_of(all.begin(), all.end(), [this](const auto &replica) { return isOpen(*replica) && !replica->isPaused(); });
 }
 
 std::optional<Duration> ReplicaController::lateness(const ReplicaQuery &query, TimePoint deadline) const
 {
     std::optional<TimePoint> earliest;
-    bool ready = false;
+    bool open = false;
     const std::string kind(query.workKind);
     for (const auto &replica : candidates(query)) {
+        if (replica->isPaused()) {
+            continue;
+        }
         const TimePoint end = replica->predictedCompletion(kind, baselineFor(query.service, kind, replica->limits().otherRegion));
         earliest = std::min(end, earliest.value_or(end));
-        ready = ready || isReady(replica);
+        open = open || isOpen(*replica);
     }
-    return ready ? std::optional(std::max(Duration::zero(), *earliest - deadline)) : std::nullopt;
+    return open ? std::optional(std::max(Duration::zero(), *earliest - deadline)) : std::nullopt;
 }
 
-std::optional<TimePoint> ReplicaController::nextConnectRetry(const ReplicaQuery &query) const
+std::optional<TimePoint> ReplicaController::pausedUntil(const ReplicaQuery &query) const
+{
+    std::optional<TimePoint> earliest;
+    for (const auto &replica : candidates(query)) {
+        if (!isOpen(*replica)) {
+            continue;
+        }
+        if (!replica->isPaused()) {
+            return std::nullopt;
+        }
+        earliest = std::min(replica->pausedUntil(), earliest.value_or(replica->pausedUntil()));
+    }
+    return earliest;
+}
+
+std::optional<TimePoint> ReplicaController::nextRetry(const ReplicaQuery &query) const
 {
     std::optional<TimePoint> earliest;
     const auto ids = byService_.find(query.service);
@@ -297,10 +344,11 @@
     }
     for (const std::string &id : ids->second) {
         const Replica &replica = *replicas_.find(id)->second;
-        if (!replica.isUnreachable() || (earliest && *earliest <= replica.unreachableUntil())) {
+        if (!replica.isUnreachable() && !replica.isPaused()) {
             continue;
         }
-        earliest = replica.unreachableUntil();
+        const TimePoint next = std::max(replica.unreachableUntil(), replica.pausedUntil());
+        earliest = std::min(next, earliest.value_or(next));
     }
     return earliest;
 }
@@ -390,6 +438,15 @@
 void ReplicaController::tick()
 {
     std::erase_if(retired_, [](const std::shared_ptr<Replica> &replica) { return replica->attemptCount() == 0; });
+    const TimePoint now = environment_.clock.now();
+    for (auto &[instance, kept] : statements_) {
+        kept.lastUsed = kept.statement.use_count() > 1 ? now : kept.lastUsed;
+    }
+    std::erase_if(statements_, [now](const auto &entry) {
+        const KeptStatement &kept = entry.second;
+        const bool isEmpty = !kept.statement->leavingSince && kept.statement->pausedUntil <= now;
+        return kept.statement.use_count() == 1 && (isEmpty || now - kept.lastUsed > statementRetention);
+    });
     for (const auto &[id, replica] : replicas_) {
         replica->setTrafficShare(trafficShare());
         replica->runMaintenance();
--- a/src/forward/ReplicaController.h
+++ b/src/forward/ReplicaController.h
@@ -60,8 +60,9 @@
     void onTargetRemoved(const std::string &id);
     void onZoneChanged(const std::string &zone, bool evacuated);
 
-    /// \brief Selects the replica with the lowest score; a cold one only if there is no warm one. A replica whose target limits
-    /// requests is selected only within this host's part of the limit.
+    /// \brief Selects the replica with the lowest score; a cold one only if there is no warm one, and one that leaves only if
+    /// there is no other, for a short time. A replica whose target limits requests or asks for a pause is selected only as far
+    /// as it takes requests.
     /// Selecting a cold replica uses up part of its share.
     /// \returns null if none can be used now.
     std::shared_ptr<Replica> pick(const ReplicaQuery &query);
@@ -70,15 +71,18 @@
     /// idle; nothing if no warm replica can be used now.
     std::optional<Duration> expectedDuration(const ReplicaQuery &query) const;
 
-    /// \returns whether a ready replica can be used, cold ones included.
+    /// \returns whether a replica can be used, cold ones and those that have just begun to leave included.
     bool isAvailable(const ReplicaQuery &query) const;
 
     /// \returns by how much the earliest replica would miss \p deadline, predicted from the queues; zero if one would
     /// meet it, nothing if none isAvailable().
     std::optional<Duration> lateness(const ReplicaQuery &query, TimePoint deadline) const;
 
-    /// \returns when connecting to an unreachable replica is tried next; nothing if none is unreachable.
-    std::optional<TimePoint> nextConnectRetry(const ReplicaQuery &query) const;
+    /// \returns when the first of the replicas that are unreachable, or paused, may be tried again; nothing if there is none.
+    std::optional<TimePoint> nextRetry(const ReplicaQuery &query) const;
+
+    /// \returns when the first pause ends, if a service has ready replicas but all of them asked for a pause; else nothing.
+    std::optional<TimePoint> pausedUntil(const ReplicaQuery &query) const;
 
     /// \returns the typical latency of replicas in this region or in others; an initial guess before the first response.
     Duration baselineLatency(std::string_view workKind, bool otherRegion) const;
@@ -122,6 +126,14 @@
         Duration meanInterval{};    // Between requests; a weighted mean.
     };
 
+    // Identifier of a target and the time of its start.
+    using Instance = std::pair<std::string, std::int64_t>;
+
+    struct KeptStatement {
+        std::shared_ptr<TargetStatement> statement;
+        TimePoint lastUsed; // When a replica last held it.
+    };
+
     using ReplicaList = std::vector<std::shared_ptr<Replica>>;
     using Replicas = std::map<std::string, std::shared_ptr<Replica>, std::less<>>;
 
@@ -129,6 +141,9 @@
     ServiceTraffic &trafficOf(std::string_view service);
     double trafficShare() const;
     ReplicaLimits limitsFor(const TargetEntry &entry) const;
+    std::shared_ptr<TargetStatement> statementOf(const TargetEntry &entry);
+    std::optional<TimePoint> leavingSince(const Replica &replica) const;
+    bool isOpen(const Replica &replica) const;
     bool isUsable(const Replica &replica, const ReplicaQuery &query) const;
     void index(const TargetEntry &entry);
     void unindex(const std::string &id);
@@ -145,7 +160,8 @@
     Replicas replicas_;
     std::map<std::string, std::set<std::string>, std::less<>> byService_; // Invariant: each id is a key of replicas_.
     std::map<std::string, TimePoint, std::less<>> drainingSince_;         // When this host learned of it, by target id.
-    std::vector<std::shared_ptr<Replica>> retired_;                       // Kept until their attempts have ended.
+    std::map<Instance, KeptStatement> statements_;
+    std::vector<std::shared_ptr<Replica>> retired_; // Kept until their attempts have ended.
     std::map<std::string, ServiceTraffic, std::less<>> traffic_;
     std::array<LatencyEstimate, 2> connectTimes_;                                  // This region's and others'.
     std::array<std::map<std::string, LatencyEstimate, std::less<>>, 2> baselines_; // This region's and others', by kind of work.
--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -334,9 +334,9 @@
         std::erase(excluded_, target);
     }
     shedding_.clear();
-    const auto connectRetry = replicas_.nextConnectRetry(query());
-    const TimePoint retryAt = replicas_.isAvailable(query()) ? now + wait : std::max(now + wait, connectRetry.value_or(now));
-    const bool unavailable = !connectRetry && !replicas_.isAvailable(query());
+    const auto nextRetry = replicas_.nextRetry(query());
+    const TimePoint retryAt = replicas_.isAvailable(query()) ? now + wait : std::max(now + wait, nextRetry.value_or(now));
+    const bool unavailable = !nextRetry && !replicas_.isAvailable(query());
     // A request that has not run is better refused early, so that its caller can try another host in time.
     const bool refusable = context_->single && verdict() == Verdict::NotRun;
     if (refusable && retryAt > context_->goal - context_->route->latencyGoal + context_->route->latencyGoal / refusalGoalDivisor) {
--- a/tests/unit/ForwardFixture.cpp
+++ b/tests/unit/ForwardFixture.cpp
@@ -59,6 +59,11 @@
     if (const std::string limit = headerOf(reply.headers, "limit"); !limit.empty()) {
         response.limit = {RequestLimit::Kind::Stated, std::stod(limit)};
     }
+    response.leaving = !headerOf(reply.headers, "leaving").empty();
+    if (const std::string pause = headerOf(reply.headers, "pause"); !pause.empty()) {
+        const std::chrono::duration<double> seconds(std::stod(pause));
+        response.pause = {RequestedPause::Kind::Stated, std::chrono::duration_cast<Duration>(seconds), ""};
+    }
     response.headers = reply.headers;
     response.body = std::move(reply.body);
     return response;
@@ -146,7 +151,11 @@
         return {};
     }
     if (now == Behaviour::Shed) {
-        handler({503, "", "", false, {{"not-run", "1"}}});
+        std::vector<WireHeader> headers = withStatements({{"not-run", "1"}});
+        if (pause) {
+            headers.push_back({"pause", fmt::format("{}", *pause)});
+        }
+        handler({503, "", "", false, std::move(headers)});
         return {};
     }
     ++runs[headerOf(request.headers, "id")];
@@ -155,7 +164,7 @@
         return {};
     }
     if (now == Behaviour::Fail || now == Behaviour::FailUnavailable) {
-        handler({now == Behaviour::Fail ? 500U : 503U, "", "", false, {{"signature", id}}});
+        handler({now == Behaviour::Fail ? 500U : 503U, "", "", false, withStatements({{"signature", id}})});
         return {};
     }
     if (now == Behaviour::Crash) {
@@ -177,6 +186,14 @@
     };
 }
 
+std::vector<WireHeader> FakeTarget::withStatements(std::vector<WireHeader> headers) const
+{
+    if (leaving) {
+        headers.push_back({"leaving", "1"});
+    }
+    return headers;
+}
+
 void FakeTarget::startWork(std::uint64_t number)
 {
     ++busy_;
@@ -184,7 +201,7 @@
         const auto found = work_.extract(number);
         if (!found.empty()) {
             // Two records of 16 bytes, the lesser one first.
-            std::vector<WireHeader> headers{{"signature", id}};
+            std::vector<WireHeader> headers = withStatements({{"signature", id}});
             if (limit) {
                 headers.push_back({"limit", fmt::format("{}", *limit)});
             }
--- a/tests/unit/ForwardFixture.h
+++ b/tests/unit/ForwardFixture.h
@@ -82,6 +82,8 @@
     Behaviour behaviour = Behaviour::Answer;
     Duration work = std::chrono::milliseconds(15);
     std::optional<double> limit;                             ///< Stated in each response that is no refusal.
+    std::optional<double> pause;                             ///< Seconds, stated in each refusal.
+    bool leaving = false;                                    ///< Stated in each response.
     std::function<Behaviour(unsigned arrival)> behaviourFor; ///< Overrides behaviour for each arrival when set.
     std::function<void()> crash;                             ///< Called for Behaviour::Crash.
     std::string crashingPath;                                ///< Requests with this path crash the target when set.
@@ -98,6 +100,7 @@
         Duration duration;
     };
     void startWork(std::uint64_t number);
+    std::vector<WireHeader> withStatements(std::vector<WireHeader> headers) const;
 
     ManualTime &time_;
     unsigned slots_;
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -345,6 +345,53 @@
     CHECK_FALSE(isSuccess(codec->decodeResponse(packed)));
 }
 
+TEST_CASE("platform: a target that leaves says so with one value only, in any response")
+{
+    const auto codec = platform::makeCodec();
+    for (const unsigned status : {200U, 404U, 421U, 500U, 503U}) {
+        WireReply reply;
+        reply.status = status;
+        reply.headers = {{"server-leaving", "1"}};
+        CHECK(codec->decodeResponse(reply).leaving);
+        for (const char *text : {"", "0", "true", "11", "1, 1", "-1"}) {
+            reply.headers = {{"Server-Leaving", text}};
+            CHECK_FALSE(codec->decodeResponse(reply).leaving);
+        }
+        reply.headers = {};
+        CHECK_FALSE(codec->decodeResponse(reply).leaving);
+    }
+}
+
+TEST_CASE("platform: the pause that a refusal asks for is bounded, and anything but a number of seconds is malformed")
+{
+    const auto codec = platform::makeCodec();
+    const auto pauseOf = [&codec](std::vector<std::string> values, unsigned status = 503) {
+        WireReply reply;
+        reply.status = status;
+        for (std::string &value : values) {
+            reply.headers.push_back({"Retry-After", std::move(value)});
+        }
+        return codec->decodeResponse(reply).pause;
+    };
+    CHECK(pauseOf({"1.5"}).duration == std::chrono::milliseconds(1'500));
+    CHECK(pauseOf({"0"}).kind == RequestedPause::Kind::Stated);
+    CHECK(pauseOf({"0"}).duration == Duration::zero());
+    CHECK(pauseOf({}).kind == RequestedPause::Kind::None);
+    CHECK(pauseOf({"2"}, 200).kind == RequestedPause::Kind::None);
+    for (const char *text : {"1e9", "1e308", "99999999999999999999"}) {
+        CHECK(pauseOf({text}).duration == std::chrono::hours(1));
+    }
+    for (const char *text : {"", "-1", "nan", "inf", "1e999", "x", "1,5", "2 s", "Fri, 04 Dec 2026 23:59:59 GMT", "04 Dec 2026"}) {
+        CAPTURE(text);
+        CHECK(pauseOf({text}).kind == RequestedPause::Kind::Malformed);
+        CHECK_FALSE(pauseOf({text}).malformed.empty());
+    }
+    CHECK(pauseOf({std::string(100'000, '9') + "x"}).malformed.size() <= 40);
+    CHECK(pauseOf({"1", "3", "2"}).duration == std::chrono::seconds(3));
+    CHECK(pauseOf({"soon", "3"}).kind == RequestedPause::Kind::Stated);
+    CHECK(pauseOf({"soon", "3"}).malformed == "soon");
+}
+
 TEST_CASE("metrics: histograms keep their labels and have buckets")
 {
     Counters counters;
