Give each lapsed entry its own time to return

Cause: entries that lapse around an outage are kept for 2.3 s, and that time began anew with each result that said that the source had been unavailable lately, as a reader does for 5 s, so that a follower that is in touch kept targets that had left. Now the time is counted for each entry from its own lapse, and goes on only while the host's own calls fail. Test: the entry is still used a second after its time without the change, and removed with it. RegistryTest names the lapses that removeLapsed() is to remove; same checks.

--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -169,7 +169,11 @@
         startLapseGracePeriod();
         startSettling();
     }
+    const std::uint64_t lapsesBefore = registry_.lastLapse();
     registry_.apply(result, isInLapseGracePeriod());
+    if (registry_.lastLapse() > lapsesBefore || std::exchange(isLapseExpiryPostponed_, false)) {
+        scheduleLapseExpiry(registry_.lastLapse());
+    }
     position_ = result.complete ? result.position : std::max(position_, result.position);
 }
 
@@ -285,10 +289,19 @@
 void DiscoveryController::startLapseGracePeriod()
 {
     lapseGraceStart_ = clock_.now();
-    scheduler_.cancel(lapseGraceTimer_);
-    lapseGraceTimer_ = scheduler_.callAt(clock_.now() + lapseGracePeriod, [this, token = std::weak_ptr<int>(lifetimeToken_)] {
-        if (!token.expired()) {
-            registry_.removeLapsed();
+}
+
+// Each entry has its own period: one that is prolonged while the source is lost by turns would keep targets that have left.
+void DiscoveryController::scheduleLapseExpiry(std::uint64_t lastLapse)
+{
+    scheduler_.callAt(clock_.now() + lapseGracePeriod, [this, lastLapse, token = std::weak_ptr<int>(lifetimeToken_)] {
+        if (token.expired()) {
+            return;
+        }
+        // Without the source the entries could not be published again.
+        isLapseExpiryPostponed_ = failures_ > 0;
+        if (!isLapseExpiryPostponed_) {
+            registry_.removeLapsed(lastLapse);
         }
     });
 }
--- a/src/discovery/DiscoveryController.h
+++ b/src/discovery/DiscoveryController.h
@@ -52,6 +52,7 @@
     void scheduleNextCall(Duration wait);
     void recordSourceState(const DiscoveryReadResult &result);
     void startLapseGracePeriod();
+    void scheduleLapseExpiry(std::uint64_t lastLapse);
     void startSettling();
     void onHistoryLost(std::string_view reason);
     void apply(const DiscoveryReadResult &result);
@@ -78,7 +79,7 @@
     unsigned failures_ = 0;                    // Consecutive failed calls.
     std::optional<TimePoint> lapseGraceStart_; // Start of the last grace period for lapsed entries.
     TimerId timer_ = TimerId::None;
-    TimerId lapseGraceTimer_ = TimerId::None;
+    bool isLapseExpiryPostponed_ = false; // Whether the period of some lapsed entries ended while the source was lost.
     TimerId settleTimer_ = TimerId::None;
     TimerId peerPositionTimer_ = TimerId::None; // Set while another host has a newer position.
     std::shared_ptr<int> lifetimeToken_;        // Callbacks hold it weakly and do nothing once the controller is destroyed.
--- a/src/discovery/Registry.cpp
+++ b/src/discovery/Registry.cpp
@@ -153,7 +153,8 @@
         return;
     }
     if (keepLapsed) {
-        if (lapsedTargets_.insert(id).second) {
+        if (lapsedTargets_.try_emplace(id, lastLapse_ + 1).second) {
+            ++lastLapse_;
             journal_.record(LogCategory::Member, "", fmt::format("target entry lapsed, kept during the grace period target={}", id));
         }
         return;
@@ -167,11 +168,18 @@
     }
 }
 
-void Registry::removeLapsed()
+std::uint64_t Registry::lastLapse() const
+{
+    return lastLapse_;
+}
+
+void Registry::removeLapsed(std::uint64_t last)
 {
     const auto lapsed = lapsedTargets_;
-    for (const std::string &id : lapsed) {
-        removeTarget(id, false);
+    for (const auto &[id, number] : lapsed) {
+        if (number <= last) {
+            removeTarget(id, false);
+        }
     }
 }
 
--- a/src/discovery/Registry.h
+++ b/src/discovery/Registry.h
@@ -40,8 +40,11 @@
     /// \param keepLapsed whether removed entries may only have lapsed, and are kept until removeLapsed().
     void apply(const DiscoveryReadResult &result, bool keepLapsed);
 
-    /// \brief Removes the entries that lapsed and were not published again.
-    void removeLapsed();
+    /// \returns the number of the last lapse; each entry that lapses gets the next one.
+    std::uint64_t lastLapse() const;
+
+    /// \brief Removes the entries of the lapses up to number \p last that were not published again.
+    void removeLapsed(std::uint64_t last);
 
     /// \brief Applies the evacuations that a restored source still contradicts; to be called once operators had time to
     /// publish theirs again.
@@ -67,9 +70,10 @@
     RoutingTablePtr table_; // Invariant: its version never decreases.
     std::map<std::string, TargetEntry, std::less<>> targets_;
     std::set<std::string, std::less<>> evacuatedZones_;
-    std::set<std::string, std::less<>> lapsedTargets_; // Invariant: each is in targets_.
-    std::optional<std::int64_t> era_;                  // Of the last result; no value before the first.
-    bool isSettling_ = false;                          // Whether the source was restored and what it lacks may not be published again yet.
+    std::map<std::string, std::uint64_t, std::less<>> lapsedTargets_; // Number of the lapse by identifier. Invariant: each is in targets_.
+    std::uint64_t lastLapse_ = 0;
+    std::optional<std::int64_t> era_; // Of the last result; no value before the first.
+    bool isSettling_ = false;         // Whether the source was restored and what it lacks may not be published again yet.
     DepartedTargets departedTargets_;
     std::set<std::string, std::less<>> endedEvacuations_;     // Zones whose evacuation was cancelled.
     std::map<std::string, bool, std::less<>> unsettledZones_; // Whether evacuated by the copy, where this host knows otherwise.
--- a/tests/unit/ForwardTest.cpp
+++ b/tests/unit/ForwardTest.cpp
@@ -634,6 +634,33 @@
     CHECK(logged(fixture, "discovery regained"));
 }
 
+// Guards against a target that left and goes on being used because the source seems unavailable again and again.
+TEST_CASE("discovery: pattern source that is lost by turns, an entry that was removed is gone after its time to return all the same")
+{
+    ForwardFixture fixture;
+    fixture.addTarget("t1", {"s", "here"});
+    fixture.addTarget("t2", {"s", "here"});
+    fixture.publish({ForwardFixture::route("a", ServiceDestination{"s"})});
+    auto publishUnsettled = [&fixture, revision = std::int64_t{10}](std::vector<DiscoveryChange> changes) mutable {
+        DiscoveryReadResult reading;
+        reading.changes = std::move(changes);
+        reading.sourceRecentlyUnavailable = true;
+        reading.position.revision = ++revision;
+        fixture.discovery.publish(std::move(reading));
+    };
+    publishUnsettled({TargetRemoved{"t1"}});
+    fixture.run(seconds(1));
+    publishUnsettled({});
+    fixture.run(seconds(1));
+    // Targets that live are published again within two seconds.
+    CHECK(logged(fixture, "target entry lapsed, kept during the grace period target=t1"));
+    CHECK_FALSE(logged(fixture, "target entry removed target=t1"));
+    publishUnsettled({});
+    fixture.run(seconds(1));
+    CHECK(logged(fixture, "target entry removed target=t1"));
+    CHECK_FALSE(logged(fixture, "target entry removed target=t2"));
+}
+
 TEST_CASE("discovery: a process that was suspended reads again at once")
 {
     ForwardFixture fixture;
--- a/tests/unit/RegistryTest.cpp
+++ b/tests/unit/RegistryTest.cpp
@@ -77,7 +77,7 @@
     fixture.read(2, {TargetPublished{entryOf("t1", 5)}, TargetPublished{entryOf("t2", 5)}});
     CHECK_FALSE(fixture.isReady("t1"));
     CHECK(fixture.isReady("t2"));
-    fixture.registry.removeLapsed();
+    fixture.registry.removeLapsed(fixture.registry.lastLapse());
     CHECK_FALSE(fixture.isReady("t1"));
     fixture.read(2, {TargetPublished{entryOf("t1", 5)}, TargetPublished{entryOf("t2", 5)}});
     CHECK_FALSE(fixture.isReady("t1"));
@@ -113,7 +113,7 @@
     fixture.change(TargetPublished{entryOf("t1", 8, TargetStage::Draining)});
     fixture.read(2, {TargetPublished{entryOf("t1", 5)}});
     CHECK_FALSE(fixture.isReady("t1"));
-    fixture.registry.removeLapsed();
+    fixture.registry.removeLapsed(fixture.registry.lastLapse());
     CHECK_FALSE(fixture.isReady("t1"));
     CHECK(fixture.registry.targets().contains("t1"));
     fixture.change(TargetPublished{entryOf("t1", 1, TargetStage::Ready, 200)});
@@ -137,12 +137,12 @@
     SECTION("it returns")
     {
         fixture.change(TargetPublished{entryOf("t2", 4)});
-        fixture.registry.removeLapsed();
+        fixture.registry.removeLapsed(fixture.registry.lastLapse());
         CHECK(fixture.isReady("t2"));
     }
     SECTION("it does not")
     {
-        fixture.registry.removeLapsed();
+        fixture.registry.removeLapsed(fixture.registry.lastLapse());
         CHECK_FALSE(fixture.isReady("t2"));
     }
 }
