Leave readers whose source has failed or is silent, before the shortest limit on configuration delay

Cause: a reader's state counted as current until it was 7.5 s old, and a reader did not say that its calls fail. Now responses say so, and a follower leaves such a reader; readers by which others go watch for 1.8 s, so that a state older than 3.1 s means that the source is silent. Ruled out: staggered watches (what one reader finds reaches the followers of the others too late), more readers a zone (a special case of a site).

--- a/src/app/ForwardHost.cpp
+++ b/src/app/ForwardHost.cpp
@@ -58,14 +58,15 @@
                     gossip_,
                     mirror_},
                    settings_.peerKey,
-                   settings_.watchTime,
                    environment.seed + 3)
     , relayService_(environment.clock,
                     environment.scheduler,
                     counters_,
                     mirror_,
                     settings_.peerKey,
-                    [this] { return relaySource_.isSourceRecentlyUnavailable(); })
+                    [this] {
+                        return SourceAccess{relaySource_.isSourceRecentlyUnavailable(), relaySource_.hasSourceFailed()};
+                    })
     , handoff_({environment.clock, environment.scheduler, journal_, counters_, environment.transport, gossip_},
                settings_.peerKey,
                settings_.regionOfZone,
--- a/src/discovery/DiscoverySource.h
+++ b/src/discovery/DiscoverySource.h
@@ -63,6 +63,7 @@
     std::vector<PublishedItem> items;       ///< From which changes were decoded, if they may be relayed to other hosts.
     bool fromFallbackPeer = false;          ///< Read from another host because this one cannot reach the source.
     bool sourceRecentlyUnavailable = false; ///< Missing entries may only have lapsed while the source was unavailable.
+    bool sourceUnreachable = false;         ///< Read from another host whose own last call to the source failed.
     Duration age{};                         ///< Time since this state was last confirmed to be the published one.
     bool mayHaveMore = false;               ///< More changes may wait already: the source limits the size of a response.
     bool mostlyOutdated = false;            ///< Much of the response was replaced by its own later part; a full read is shorter.
--- a/src/relay/RelayMessages.cpp
+++ b/src/relay/RelayMessages.cpp
@@ -102,6 +102,7 @@
                     {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(result.age).count()},
                     {"history_lost", result.historyLost},
                     {"unsettled", result.sourceRecentlyUnavailable},
+                    {"source_unreachable", result.sourceUnreachable},
                     {"items", std::move(items)}};
     const std::string body = json.dump(-1, ' ', false, Json::error_handler_t::replace);
     return sign(body) + " " + body;
@@ -126,6 +127,10 @@
     fields.read("age_ms", age);
     fields.read("history_lost", result.historyLost);
     fields.read("unsettled", result.sourceRecentlyUnavailable);
+    // Hosts of an earlier release do not say it.
+    if (fields.has("source_unreachable")) {
+        fields.read("source_unreachable", result.sourceUnreachable);
+    }
     result.age = std::chrono::milliseconds(age);
     const Json *items = fields.array("items");
     if (items == nullptr || !fields.good()) {
--- a/src/relay/RelayService.cpp
+++ b/src/relay/RelayService.cpp
@@ -25,13 +25,13 @@
                            Counters &counters,
                            Mirror &mirror,
                            std::string key,
-                           std::function<bool()> isSourceRecentlyUnavailable)
+                           std::function<SourceAccess()> sourceAccess)
     : clock_(clock)
     , scheduler_(scheduler)
     , counters_(counters)
     , mirror_(mirror)
     , codec_(std::move(key))
-    , isSourceRecentlyUnavailable_(std::move(isSourceRecentlyUnavailable))
+    , sourceAccess_(std::move(sourceAccess))
 {
     mirror_.onApplied([this] { onMirrorChanged(); });
 }
@@ -109,7 +109,9 @@
 {
     result.position = mirror_.position();
     result.age = mirror_.age();
-    result.sourceRecentlyUnavailable = isSourceRecentlyUnavailable_();
+    const SourceAccess access = sourceAccess_();
+    result.sourceRecentlyUnavailable = access.recentlyUnavailable;
+    result.sourceUnreachable = access.unreachable;
     return {200, "text/plain", codec_.encode(result), false};
 }
 
--- a/src/relay/RelayService.h
+++ b/src/relay/RelayService.h
@@ -14,17 +14,23 @@
 
 namespace magnoliaspan {
 
+/// \brief What a host knows of its access to the source, for its responses.
+struct SourceAccess {
+    bool recentlyUnavailable = false; ///< DiscoveryReadResult::sourceRecentlyUnavailable.
+    bool unreachable = false;         ///< DiscoveryReadResult::sourceUnreachable.
+};
+
 /// \brief Responds with the content of the mirror, at once or, to a long poll, when it changes.
 class RelayService : public Service
 {
 public:
-    /// \param isSourceRecentlyUnavailable returns DiscoveryReadResult::sourceRecentlyUnavailable for the responses.
+    /// \param sourceAccess returns what this host knows of its access to the source.
     RelayService(const Clock &clock,
                  Scheduler &scheduler,
                  Counters &counters,
                  Mirror &mirror,
                  std::string key,
-                 std::function<bool()> isSourceRecentlyUnavailable);
+                 std::function<SourceAccess()> sourceAccess);
     ~RelayService() override;
 
     /// \brief Responds with status 403 to a wrong signature, 400 to a malformed path, and 503 while the mirror is empty or
@@ -49,7 +55,7 @@
     Counters &counters_;
     Mirror &mirror_;
     RelayCodec codec_;
-    std::function<bool()> isSourceRecentlyUnavailable_;
+    std::function<SourceAccess()> sourceAccess_;
     std::map<std::uint64_t, LongPoll> longPolls_; // Pending, by number.
     std::uint64_t lastPollNumber_ = 0;
 };
--- a/src/relay/RelaySource.cpp
+++ b/src/relay/RelaySource.cpp
@@ -18,8 +18,12 @@
 // A reader that hangs is detected after this plus responseTimeout, well within the limits on configuration delay.
 constexpr Duration relayWatchTime = std::chrono::milliseconds(1'500);
 constexpr Duration responseTimeout = std::chrono::milliseconds(500);
-// Age that a reader's state may reach beyond its watch time: its call and its wait between calls.
-constexpr Duration ageSlack = std::chrono::milliseconds(2'500);
+// Longest watch of a reader by which others go. It is short, since they learn by its end only that the source is silent to the
+// reader.
+constexpr Duration readerWatchTime = std::chrono::milliseconds(1'800);
+// A reader's state is older only if its source is silent: its watch, its wait between calls and a slow response fit in.
+constexpr Duration maxReaderAge = std::chrono::milliseconds(3'100);
+constexpr Duration minRelayWatchTime = std::chrono::milliseconds(100);
 constexpr Duration avoidanceTime = std::chrono::seconds(10);
 // A single failed call may be transient.
 constexpr unsigned failuresUntilUnreachable = 2;
@@ -33,10 +37,9 @@
 
 } // namespace
 
-RelaySource::RelaySource(const RelayEnvironment &environment, std::string key, Duration watchTime, std::uint64_t seed)
+RelaySource::RelaySource(const RelayEnvironment &environment, std::string key, std::uint64_t seed)
     : environment_(environment)
     , codec_(std::move(key))
-    , watchTime_(watchTime)
     , random_(seed)
 {
 }
@@ -71,6 +74,11 @@
     return lastUnavailableAt_ && environment_.clock.now() - *lastUnavailableAt_ < recoveryTime;
 }
 
+bool RelaySource::hasSourceFailed() const
+{
+    return directFailures_ > 0;
+}
+
 bool RelaySource::isSourceUnreachable() const
 {
     return directFailures_ >= failuresUntilUnreachable;
@@ -88,12 +96,8 @@
     return member.state == HostState::Alive && (found == avoidedUntil_.end() || found->second <= environment_.clock.now());
 }
 
-// Returns no value if this host is to read from the source itself.
-std::optional<RelaySource::Peer> RelaySource::chooseReader()
+std::vector<Member> RelaySource::readersOfZone() const
 {
-    if (environment_.clock.now() < directUntil_) {
-        return std::nullopt;
-    }
     const Member &self = environment_.gossip.self();
     std::vector<Member> zone = environment_.gossip.aliveMembers(self.zone);
     zone.push_back(self);
@@ -101,8 +105,26 @@
         return rendezvousHash(self.zone, a.name) < rendezvousHash(self.zone, b.name);
     });
     zone.resize(std::min(zone.size(), readersPerZone));
+    return zone;
+}
+
+bool RelaySource::isReaderOfOthers() const
+{
+    const Member &self = environment_.gossip.self();
+    const std::vector<Member> readers = readersOfZone();
+    const bool isReader = std::any_of(readers.begin(), readers.end(), [&self](const Member &one) { return one.name == self.name; });
+    return isReader && environment_.gossip.aliveMembers(self.zone).size() >= readersPerZone;
+}
+
+// Returns no value if this host is to read from the source itself.
+std::optional<RelaySource::Peer> RelaySource::chooseReader()
+{
+    if (environment_.clock.now() < directUntil_) {
+        return std::nullopt;
+    }
+    const Member &self = environment_.gossip.self();
     std::vector<Peer> usablePeers;
-    for (const Member &member : zone) {
+    for (const Member &member : readersOfZone()) {
         if (member.name == self.name) {
             return std::nullopt;
         }
@@ -159,9 +181,13 @@
     }
     path_ = Path::Reader;
     pathAvoided_ = false;
-    callPeer(*peer, {after, relayWatchTime}, [this, peer, after, wait, handler](std::optional<DiscoveryReadResult> result) {
-        if (!result || result->age > watchTime_ + ageSlack || result->position < after) {
-            avoidPeer(*peer, result ? "state too old" : "no valid response");
+    // The response comes when the reader's state becomes too old, at the latest.
+    const Duration pollTime = std::clamp(maxReaderAge - readerAge_, minRelayWatchTime, relayWatchTime);
+    callPeer(*peer, {after, pollTime}, [this, peer, after, wait, handler](std::optional<DiscoveryReadResult> result) {
+        readerAge_ = result ? result->age : Duration::zero();
+        if (!result || result->age >= maxReaderAge || result->sourceUnreachable || result->position < after) {
+            const std::string_view reason = !result ? "no valid response" : result->sourceUnreachable ? "source failed" : "state too old";
+            avoidPeer(*peer, reason);
             readDirectly(after, wait, Freshness::Latest, handler);
             return;
         }
@@ -215,7 +241,8 @@
         environment_.direct.readAll(freshness, onResult);
     } else {
         // After a failure the call only asks for what is there, so that it fails early if the source is still silent.
-        environment_.direct.watch(*after, directFailures_ > 0 ? Duration::zero() : wait, onResult);
+        const Duration longest = isReaderOfOthers() ? std::min(wait, readerWatchTime) : wait;
+        environment_.direct.watch(*after, directFailures_ > 0 ? Duration::zero() : longest, onResult);
     }
 }
 
--- a/src/relay/RelaySource.h
+++ b/src/relay/RelaySource.h
@@ -42,9 +42,8 @@
 {
 public:
     /// \param key shared by all hosts; authenticates calls between them.
-    /// \param watchTime longest time that a reader's own watch waits; a reader's state may be that old if nothing changes.
     /// \param seed of all random choices.
-    RelaySource(const RelayEnvironment &environment, std::string key, Duration watchTime, std::uint64_t seed);
+    RelaySource(const RelayEnvironment &environment, std::string key, std::uint64_t seed);
     ~RelaySource() override;
 
     void readAll(Freshness freshness, Handler handler) override;
@@ -56,6 +55,9 @@
     /// that missing entries may only have lapsed.
     bool isSourceRecentlyUnavailable() const;
 
+    /// \returns whether this host's last own call to the source failed, so that others do better to read elsewhere.
+    bool hasSourceFailed() const;
+
 private:
     /// Where the running or last call reads from.
     enum class Path {
@@ -71,6 +73,8 @@
 
     bool isSourceUnreachable() const;
     bool mustAskAnyPeer() const;
+    std::vector<Member> readersOfZone() const;
+    bool isReaderOfOthers() const;
     std::optional<Peer> chooseReader();
     std::optional<Peer> chooseAnyPeer();
     bool isUsable(const Member &member) const;
@@ -83,12 +87,12 @@
 
     RelayEnvironment environment_;
     RelayCodec codec_;
-    Duration watchTime_;
     std::mt19937_64 random_;
     std::shared_ptr<SingleCall> peerCall_;          // Running call to another host, or null.
     std::map<std::string, TimePoint> avoidedUntil_; // Hosts not to read from, by name.
     TimePoint directUntil_{};                       // No reader is used before this time.
     unsigned directFailures_ = 0;                   // Consecutive failures of own calls to the source.
+    Duration readerAge_{};                          // Of the state in the last response of a reader.
     Path path_ = Path::Source;
     bool pathAvoided_ = false; // Whether the last call was given up because other hosts have a newer position.
     std::optional<TimePoint> lastUnavailableAt_;
