Compare messages between hosts with those of release, and name an undecided loss as such

Relay responses of that release are read, their missing field means not known; responses keep all fields that it reads. The datagrams have such tests already, and the handoff messages did not change. Tests only, and one member renamed; 23 relay tests and the two new ones pass.

--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -348,7 +348,7 @@
         const bool silent = error == make_error_code(TransportError::Silent);
         closeConnection(id);
         if (!silent) {
-            lossAt_.reset();
+            undecidedLossAt_.reset();
             environment_.crashGuard.recordTargetGone(entry_);
         }
         health_.recordConnectFailure(silent);
@@ -370,12 +370,12 @@
     pooled.connecting = false;
     pooled.connectDuration = environment_.clock.now() - pooled.openedAt;
     environment_.crashGuard.recordTargetAlive(entry_, pooled.openedAt);
-    const bool provesNothing = lossAt_ && pooled.openedAt < *lossAt_;
+    const bool provesNothing = undecidedLossAt_ && pooled.openedAt < *undecidedLossAt_;
     onConnectionIdle(id);
     if (provesNothing) {
         probeAfterLoss();
     } else {
-        lossAt_.reset();
+        undecidedLossAt_.reset();
     }
 }
 
@@ -465,7 +465,7 @@
     if (result.outcome != AttemptOutcome::Lost && !rejected) {
         return;
     }
-    lossAt_ = environment_.clock.now();
+    undecidedLossAt_ = environment_.clock.now();
     crashGuard.recordTargetLoss(fingerprint, entry_, *attempt.sentAt, rejected);
     probeAfterLoss();
 }
--- a/src/forward/Replica.h
+++ b/src/forward/Replica.h
@@ -235,9 +235,9 @@
     std::uint64_t lastConnection_ = 0;
     unsigned allowedConnections_; // Raised by each new connection that works, lowered when one is rejected.
     bool retired_ = false;
-    std::optional<TimePoint> lastLossAt_; // Of the last exchange lost, but for those on a new connection that was reset at once.
-    std::optional<TimePoint> lossAt_;     // Of the last connection lost with a request on it, until a later connect succeeds or fails.
-    TimePoint connectBackoffUntil_{};     // Set while the target accepts no further connections.
+    std::optional<TimePoint> lastLossAt_;      // Of the last exchange lost, but for those on a new connection that was reset at once.
+    std::optional<TimePoint> undecidedLossAt_; // Of the last connection lost with a request on it, until a later connect succeeds or fails.
+    TimePoint connectBackoffUntil_{};          // Set while the target accepts no further connections.
     unsigned consecutiveRejections_ = 0;
     TargetRequestLimit requestLimit_;
     std::shared_ptr<TargetStatement> statement_; // Invariant: not null.
--- a/tests/unit/RelayTest.cpp
+++ b/tests/unit/RelayTest.cpp
@@ -3,6 +3,7 @@
  */
 #include "ForwardFixture.h"
 #include "Fuzzing.h"
+#include "core/Hmac.h"
 #include "discovery/DiscoveryController.h"
 #include "relay/RelayService.h"
 #include "relay/RelaySource.h"
@@ -10,6 +11,7 @@
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 using namespace magnoliaspan;
 using namespace magnoliaspan::testing;
@@ -777,6 +779,36 @@
     }
 }
 
+TEST_CASE("relay: responses of hosts of release 463ba33 are read, and say nothing of their access to the source")
+{
+    // As sent by that release.
+    const std::string body = R"({"age_ms":300,"complete":false,"era":2,"history_lost":false,)"
+                             R"("items":[{"key":"a","revision":3,"value":"x"}],"revision":5,"unsettled":true})";
+    const auto read = RelayCodec("key").decode(hmacSha256("key", body) + " " + body, TargetDecoder());
+    REQUIRE(read);
+    CHECK(read->position == StatePosition{2, 5});
+    CHECK(read->sourceRecentlyUnavailable);
+    CHECK_FALSE(read->sourceUnreachable);
+    CHECK(read->items.size() == 1);
+}
+
+TEST_CASE("relay: responses keep the fields that hosts of release 463ba33 read")
+{
+    DiscoveryReadResult result;
+    result.position = {2, 5};
+    result.sourceUnreachable = true;
+    const std::string text = RelayCodec("key").encode(result);
+    const auto fields = nlohmann::json::parse(text.substr(text.find(' ') + 1));
+    for (const char *number : {"era", "revision", "age_ms"}) {
+        CHECK(fields.at(number).is_number_integer());
+    }
+    for (const char *flag : {"complete", "history_lost", "unsettled"}) {
+        CHECK(fields.at(flag).is_boolean());
+    }
+    CHECK(fields.at("items").is_array());
+    CHECK(RelayCodec("key").decode(text, TargetDecoder())->sourceUnreachable);
+}
+
 TEST_CASE("relay: a request with a wrong signature is refused with status 403")
 {
     RelayFixture fixture;
