Let followers go on by their readers while the source is lost to all

Cause: followers left readers that said that their calls fail, and each called the store and hosts of other zones itself. Now a follower whose own call fails too goes on by its reader, which asks other zones for all of them, and calls the store every three seconds; a reader is left for three seconds only if the own call succeeded. The test bounds these calls; with ten seconds of avoidance it would be 10 in 10 s.

--- a/src/relay/RelaySource.cpp
+++ b/src/relay/RelaySource.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 #include <xxhash.h>
 
 namespace magnoliaspan {
@@ -25,6 +26,10 @@
 constexpr Duration maxReaderAge = std::chrono::milliseconds(3'100);
 constexpr Duration minRelayWatchTime = std::chrono::milliseconds(100);
 constexpr Duration avoidanceTime = std::chrono::seconds(10);
+// A reader's call may have failed once only.
+constexpr Duration staleAvoidanceTime = std::chrono::seconds(3);
+// While the source is lost to a follower and its reader, the follower calls it at this interval, as it may return to one of them.
+constexpr Duration ownCallInterval = std::chrono::seconds(3);
 // A single failed call may be transient.
 constexpr unsigned failuresUntilUnreachable = 2;
 // A source that is available again is called within two seconds, and lapsed entries are published again two seconds later.
@@ -153,9 +158,9 @@
     return peers.at(std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(random_));
 }
 
-void RelaySource::avoidPeer(const Peer &peer, std::string_view reason)
+void RelaySource::avoidPeer(const Peer &peer, Duration time, std::string_view reason)
 {
-    avoidedUntil_[peer.name] = environment_.clock.now() + avoidanceTime;
+    avoidedUntil_[peer.name] = environment_.clock.now() + time;
     environment_.journal.record(LogCategory::Peer, "", fmt::format("host avoided as a reader host={} reason=\"{}\"", peer.name, reason));
 }
 
@@ -170,27 +175,46 @@
 
 void RelaySource::watch(const StatePosition &after, Duration wait, Handler handler)
 {
-    if (const auto peer = mustAskAnyPeer() ? chooseAnyPeer() : std::nullopt) {
-        callAnyPeer(*peer, after, handler);
+    const auto reader = chooseReader();
+    if (reader && !isOwnCallDue()) {
+        watchReader(*reader, after, wait, handler);
         return;
     }
-    const auto peer = isSourceUnreachable() ? std::nullopt : chooseReader();
-    if (!peer) {
-        readDirectly(after, wait, Freshness::Latest, handler);
+    if (const auto peer = !reader && mustAskAnyPeer() ? chooseAnyPeer() : std::nullopt) {
+        callAnyPeer(*peer, after, handler);
         return;
     }
+    readDirectly(after, wait, Freshness::Latest, handler);
+}
+
+// Whether a follower whose last own call failed is to try another one.
+bool RelaySource::isOwnCallDue() const
+{
+    return directFailures_ > 0 && environment_.clock.now() >= nextOwnCallAt_;
+}
+
+void RelaySource::watchReader(const Peer &reader, const StatePosition &after, Duration wait, const Handler &handler)
+{
     path_ = Path::Reader;
     pathAvoided_ = false;
     // The response comes when the reader's state becomes too old, at the latest.
-    const Duration pollTime = std::clamp(maxReaderAge - readerAge_, minRelayWatchTime, relayWatchTime);
-    callPeer(*peer, {after, pollTime}, [this, peer, after, wait, handler](std::optional<DiscoveryReadResult> result) {
+    const Duration pollTime
+        = directFailures_ > 0 ? relayWatchTime : std::clamp(maxReaderAge - readerAge_, minRelayWatchTime, relayWatchTime);
+    callPeer(reader, {after, pollTime}, [this, reader, after, wait, handler](std::optional<DiscoveryReadResult> result) {
         readerAge_ = result ? result->age : Duration::zero();
-        if (!result || result->age >= maxReaderAge || result->sourceUnreachable || result->position < after) {
-            const std::string_view reason = !result ? "no valid response" : result->sourceUnreachable ? "source failed" : "state too old";
-            avoidPeer(*peer, reason);
+        if (!result || result->position < after) {
+            avoidPeer(reader, avoidanceTime, result ? "state older than the own one" : "no valid response");
+            readDirectly(after, wait, Freshness::Latest, handler);
+            return;
+        }
+        const bool isStale = result->sourceUnreachable || result->age >= maxReaderAge;
+        if (isStale && directFailures_ == 0) {
+            staleReader_ = reader;
             readDirectly(after, wait, Freshness::Latest, handler);
             return;
         }
+        // The source is lost to both; the reader asks hosts of other zones for all its followers.
+        result->fromFallbackPeer = isStale;
         deliver(*result, handler);
     });
 }
@@ -203,7 +227,7 @@
         // A full state from a host that is itself behind would go back to targets that have left.
         const StatePosition known = std::max(after.value_or(StatePosition()), environment_.mirror.position());
         if (!result || result->position < known) {
-            avoidPeer(peer, result ? "state too old" : "no valid response");
+            avoidPeer(peer, avoidanceTime, result ? "state too old" : "no valid response");
             DiscoveryReadResult failure;
             failure.error = TransportError::MalformedReply;
             handler(failure);
@@ -248,13 +272,18 @@
 
 void RelaySource::onDirectResult(const DiscoveryReadResult &result, const std::optional<StatePosition> &after, const Handler &handler)
 {
+    const auto staleReader = std::exchange(staleReader_, std::nullopt);
     if (result.error) {
         ++directFailures_;
         lastUnavailableAt_ = environment_.clock.now();
+        nextOwnCallAt_ = environment_.clock.now() + ownCallInterval;
     } else {
         directFailures_ = 0;
+        if (staleReader) {
+            avoidPeer(*staleReader, staleAvoidanceTime, "its source failed or is silent");
+        }
     }
-    if (result.error == TransportError::Silent && isSourceUnreachable()) {
+    if (result.error == TransportError::Silent && isSourceUnreachable() && !chooseReader()) {
         // The time-out has taken the time that would pass before the next call.
         if (const auto peer = chooseAnyPeer()) {
             callAnyPeer(*peer, after, handler);
--- a/src/relay/RelaySource.h
+++ b/src/relay/RelaySource.h
@@ -83,7 +83,9 @@
     void callPeer(const Peer &peer, const RelayRequest &request, std::function<void(std::optional<DiscoveryReadResult>)> handler);
     void deliver(const DiscoveryReadResult &result, const Handler &handler);
     void callAnyPeer(const Peer &peer, const std::optional<StatePosition> &after, const Handler &handler);
-    void avoidPeer(const Peer &peer, std::string_view reason);
+    void avoidPeer(const Peer &peer, Duration time, std::string_view reason);
+    bool isOwnCallDue() const;
+    void watchReader(const Peer &reader, const StatePosition &after, Duration wait, const Handler &handler);
 
     RelayEnvironment environment_;
     RelayCodec codec_;
@@ -92,7 +94,9 @@
     std::map<std::string, TimePoint> avoidedUntil_; // Hosts not to read from, by name.
     TimePoint directUntil_{};                       // No reader is used before this time.
     unsigned directFailures_ = 0;                   // Consecutive failures of own calls to the source.
-    Duration readerAge_{};                          // Of the state in the last response of a reader.
+    TimePoint nextOwnCallAt_{};                     // When a follower calls the source again after a failure.
+    std::optional<Peer> staleReader_; // Reader whose state was stale, while an own call finds out whether the source is lost to all.
+    Duration readerAge_{};            // Of the state in the last response of a reader.
     Path path_ = Path::Source;
     bool pathAvoided_ = false; // Whether the last call was given up because other hosts have a newer position.
     std::optional<TimePoint> lastUnavailableAt_;
--- a/tests/unit/RelayTest.cpp
+++ b/tests/unit/RelayTest.cpp
@@ -457,7 +457,7 @@
 }
 
 // Guards against followers that all call a source which is lost to them too, as calls are paid for.
-TEST_CASE("relay: while the source is lost to all hosts, a follower calls it once a second at most")
+TEST_CASE("relay: while the source is lost to all hosts, a follower calls it every three seconds at most")
 {
     RelayFixture fixture;
     for (const auto &host : fixture.hosts) {
@@ -469,7 +469,7 @@
     }
     fixture.run(seconds(10));
     for (std::size_t number = 0; number < before.size(); ++number) {
-        CHECK(fixture.followers[number]->direct.calls - before[number] <= 10);
+        CHECK(fixture.followers[number]->direct.calls - before[number] <= 4);
     }
 }
 
