--- a/src/relay/RelaySource.cpp
+++ b/src/relay/RelaySource.cpp
@@ -187,10 +187,10 @@
     readDirectly(after, wait, Freshness::Latest, handler);
 }
 
-// Whether a follower whose last own call failed is to try another one.
+// Whether a follower whose last own call failed is to try another one, as its reader does no better.
 bool RelaySource::isOwnCallDue() const
 {
-    return directFailures_ > 0 && environment_.clock.now() >= nextOwnCallAt_;
+    return isReaderStale_ && directFailures_ > 0 && environment_.clock.now() >= nextOwnCallAt_;
 }
 
 void RelaySource::watchReader(const Peer &reader, const StatePosition &after, Duration wait, const Handler &handler)
@@ -198,8 +198,7 @@
     path_ = Path::Reader;
     pathAvoided_ = false;
     // The response comes when the reader's state becomes too old, at the latest.
-    const Duration pollTime
-        = directFailures_ > 0 ? relayWatchTime : std::clamp(maxReaderAge - readerAge_, minRelayWatchTime, relayWatchTime);
+    const Duration pollTime = isReaderStale_ ? relayWatchTime : std::clamp(maxReaderAge - readerAge_, minRelayWatchTime, relayWatchTime);
     callPeer(reader, {after, pollTime}, [this, reader, after, wait, handler](std::optional<DiscoveryReadResult> result) {
         readerAge_ = result ? result->age : Duration::zero();
         if (!result || result->position < after) {
@@ -207,14 +206,14 @@
             readDirectly(after, wait, Freshness::Latest, handler);
             return;
         }
-        const bool isStale = result->sourceUnreachable || result->age >= maxReaderAge;
-        if (isStale && directFailures_ == 0) {
+        const bool wasStale = std::exchange(isReaderStale_, result->sourceUnreachable || result->age >= maxReaderAge);
+        if (isReaderStale_ && (directFailures_ == 0 || !wasStale)) {
             staleReader_ = reader;
             readDirectly(after, wait, Freshness::Latest, handler);
             return;
         }
         // The source is lost to both; the reader asks hosts of other zones for all its followers.
-        result->fromFallbackPeer = isStale;
+        result->fromFallbackPeer = isReaderStale_;
         deliver(*result, handler);
     });
 }
--- a/src/relay/RelaySource.h
+++ b/src/relay/RelaySource.h
@@ -95,6 +95,7 @@
     TimePoint directUntil_{};                       // No reader is used before this time.
     unsigned directFailures_ = 0;                   // Consecutive failures of own calls to the source.
     TimePoint nextOwnCallAt_{};                     // When a follower calls the source again after a failure.
+    bool isReaderStale_ = false;                    // Whether the last response of a reader was of a host whose source failed or is silent.
     std::optional<Peer> staleReader_; // Reader whose state was stale, while an own call finds out whether the source is lost to all.
     Duration readerAge_{};            // Of the state in the last response of a reader.
     Path path_ = Path::Source;
--- a/tests/unit/RelayTest.cpp
+++ b/tests/unit/RelayTest.cpp
@@ -473,6 +473,27 @@
     }
 }
 
+TEST_CASE("relay: a follower that lost the source itself makes no calls while its reader has it")
+{
+    RelayFixture fixture;
+    for (const auto &host : fixture.hosts) {
+        host->direct.failing = true;
+    }
+    fixture.run(seconds(8));
+    for (RelayHost *reader : fixture.readers) {
+        reader->direct.failing = false;
+    }
+    fixture.run(seconds(6));
+    std::vector<unsigned> before;
+    for (const RelayHost *follower : fixture.followers) {
+        before.push_back(follower->direct.calls);
+    }
+    fixture.run(seconds(10));
+    for (std::size_t number = 0; number < before.size(); ++number) {
+        CHECK(fixture.followers[number]->direct.calls == before[number]);
+    }
+}
+
 // Guards against changes that are lost to the hosts that read from a mirror whose revision is ahead of its content.
 TEST_CASE("relay: a full state that is older than the own one is not taken from another host")
 {
