Review case 1: a request that must not repeat runs twice after a repeated refusal

Cause: an answer is taken for the running attempt's if it repeats the request's id. A searcher that refuses an attempt and later sends that refusal once more, on the connection that already carries the second attempt, makes the host believe that the second attempt has not run.

--- /dev/null
+++ b/review/standins/case.py
@@ -0,0 +1,58 @@
+"""Runs a case: exit status 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+
+import os
+import signal
+import sys
+import threading
+import traceback
+
+from standins.platform import Platform, Record
+
+TIME_LIMIT_S = 110
+
+
+class CannotRun(Exception):
+    """The case did not come to the point at which the rule could be judged."""
+
+
+def main(folder, play):
+    """Calls `play(platform, record, trouble)`, which returns the list of breaches of the rule."""
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    record = Record(os.path.join(folder, "record.txt"))
+    record.write(f"disruption: {'yes' if trouble else 'no'}")
+    platform = Platform(record)
+
+    def on_time_limit(*_):
+        raise CannotRun("time limit reached")
+
+    signal.signal(signal.SIGALRM, on_time_limit)
+    signal.alarm(TIME_LIMIT_S)
+    status = 2
+    try:
+        breaches = play(platform, record, trouble)
+        for breach in breaches:
+            record.write(f"BREACH {breach}")
+        status = 1 if breaches else 0
+        print(f"{len(breaches)} breaches" + (f", the first: {breaches[0]}" if breaches else ""))
+    except CannotRun as error:
+        record.write(f"cannot run: {error}")
+        print(f"cannot run: {error}")
+    except Exception:  # pylint: disable=broad-except
+        record.write("cannot run: " + traceback.format_exc())
+        traceback.print_exc()
+    finally:
+        signal.alarm(0)
+        platform.stop()
+    record.write(f"exit status {status}")
+    sys.stdout.flush()
+    # Threads of the stand-ins may still wait for bytes.
+    os._exit(status)
+
+
+def run_threads(functions):
+    """Runs the functions at the same time and returns when all have ended."""
+    threads = [threading.Thread(target=function, daemon=True) for function in functions]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
