--- a/review/1/case.py
+++ b/review/1/case.py
@@ -42,7 +42,7 @@
         self.note_run(request)
         self.record.write(f"searcher {self.name} answers id={request.field(ID)} with a body without end")
         fields = [(ID, request.field(ID)), (SIGNATURE, f"{self.name}.{request.field(ID)}"), ("Content-Length", ANNOUNCED_BYTES)]
-        connection.send(http.encode("HTTP/1.1 200 OK", fields))
+        connection.send(http.encode("HTTP/1.1 200 OK", fields, b"z" * 1000))
         while True:
             connection.send(b"z" * 1000)
             time.sleep(0.02)
