--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -22,10 +22,11 @@
     record.write(f"disruption: {'yes' if trouble else 'no'}")
     platform = Platform(record)
 
-    def on_time_limit(*_):
-        raise CannotRun("time limit reached")
+    def on_signal(number, _):
+        raise CannotRun("time limit reached" if number == signal.SIGALRM else "ended from outside")
 
-    signal.signal(signal.SIGALRM, on_time_limit)
+    signal.signal(signal.SIGALRM, on_signal)
+    signal.signal(signal.SIGTERM, on_signal)
     signal.alarm(TIME_LIMIT_S)
     status = 2
     try:
