--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,17 +10,18 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 
 from standins import http  # noqa: E402
-from standins.case import CannotRun, main, run_threads  # noqa: E402
+from standins.case import CannotRun, Spells, main, run_threads  # noqa: E402
 from standins.client import Client  # noqa: E402
 from standins.platform import BOUNDS, route  # noqa: E402
 from standins.searcher import ID, SIGNATURE, Searcher  # noqa: E402
 
 CLIENTS_PER_HOST = 8
-LENGTH_S = 30
+LENGTH_S = 45
 WORK_S = 0.2
-# `garble`: share of the searchers and of their answers.
+# `garble`: share of the searchers and of their answers, and how long it lasts at a time.
 FAULTY_SHARE = 0.25
 SPOILT_SHARE = 0.02
+SPELL_S = 5
 ANNOUNCED_BYTES = 10**15
 # LOST allows three requests, which were passed on to a sound searcher, whose kept connection is closed without an answer.
 ALLOWED_LOST = 3
@@ -28,16 +29,18 @@
 
 
 class FaultySearcher(Searcher):
-    """Spoils SPOILT_SHARE of its answers: the body has no end."""
+    """Spoils SPOILT_SHARE of its answers during the spells: the body has no end."""
 
-    def __init__(self, *arguments, faulty):
+    def __init__(self, *arguments, faulty, spells):
         super().__init__(*arguments, capacity=24)
         self.faulty = faulty
+        self.spells = spells
         self.answers = 0
 
     def run(self, connection, request):
-        self.answers += 1
-        if not self.faulty or self.answers % round(1 / SPOILT_SHARE):
+        strikes = self.faulty and self.spells.strikes()
+        self.answers += strikes
+        if not strikes or self.answers % round(1 / SPOILT_SHARE):
             return super().run(connection, request)
         self.note_run(request)
         self.record.write(f"searcher {self.name} answers id={request.field(ID)} with a body without end")
@@ -55,10 +58,11 @@
 def play(platform, record, trouble):
     for zone in ("xela-a", "zacapa-a"):
         platform.add_host(zone)
-    searchers = [
-        FaultySearcher(record, platform.new_ip(), "garantias", f"i-{number}", "xela-a", faulty=trouble and number < 8 * FAULTY_SHARE)
-        for number in range(8)
-    ]
+    spells = Spells(SPELL_S)
+    searchers = []
+    for number in range(8):
+        faulty = trouble and number < 8 * FAULTY_SHARE
+        searchers.append(FaultySearcher(record, platform.new_ip(), "garantias", f"i-{number}", "xela-a", faulty=faulty, spells=spells))
     platform.publish(7, [route("r-ficha", "/ficha/", "idempotent", 10000, 1000, service="garantias")], ["garantias"])
     for searcher in searchers:
         platform.register(searcher)
@@ -72,6 +76,7 @@
     lost = []
     answered = []
     until = time.monotonic() + LENGTH_S
+    spells.start()
     lock = threading.Lock()
 
     def keep_running(host):
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 import threading
+import time
 import traceback
 
 from standins.platform import Platform, Record
@@ -50,6 +51,20 @@
     os._exit(status)
 
 
+class Spells:
+    """The time in which a disruption strikes: spells of a fixed length, with pauses of the same length between them."""
+
+    def __init__(self, length_s):
+        self._length_s = length_s
+        self._start = None
+
+    def start(self):
+        self._start = time.monotonic()
+
+    def strikes(self):
+        return self._start is not None and int((time.monotonic() - self._start) / self._length_s) % 2 == 0
+
+
 def run_threads(functions):
     """Runs the functions at the same time and returns when all have ended."""
     threads = [threading.Thread(target=function, daemon=True) for function in functions]
