--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -3,6 +3,8 @@
  */
 #include "net/HttpServer.h"
 
+#include "net/internal/ReceivedBody.h"
+
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -27,13 +29,13 @@
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 constexpr std::size_t maxUnparsedBytes = 65'536;
 
-std::string headerValue(const http::request<http::string_body> &request, std::string_view name)
+std::string headerValue(const http::request<internal::ReceivedBody> &request, std::string_view name)
 {
     const auto value = request[boost::beast::string_view(name.data(), name.size())];
     return {value.data(), value.size()};
 }
 
-ServiceRequest toServiceRequest(http::request<http::string_body> &&request)
+ServiceRequest toServiceRequest(http::request<internal::ReceivedBody> &&request)
 {
     ServiceRequest result;
     result.method = std::string(request.method_string());
@@ -294,7 +296,7 @@
     tcp::socket socket_;
     asio::steady_timer timer_;
     beast::flat_buffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<http::request_parser<internal::ReceivedBody>> parser_;
     http::response<http::string_body> response_;
     Service::CancelFunction cancel_;
     std::uint64_t requestNumber_ = 0;
--- a/src/net/HttpTransport.cpp
+++ b/src/net/HttpTransport.cpp
@@ -3,6 +3,7 @@
  */
 #include "net/HttpTransport.h"
 
+#include "net/internal/ReadMessage.h"
 #include "transport/TransportError.h"
 
 #include <boost/asio/io_context.hpp>
@@ -145,9 +146,8 @@
     {
         parser_.emplace();
         parser_->body_limit(maxReplyBytes);
-        http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](boost::system::error_code error, std::size_t) {
-            self->onReplyRead(error);
-        });
+        internal::readMessage(
+            socket_, buffer_, *parser_, [self = shared_from_this()](boost::system::error_code error) { self->onReplyRead(error); });
     }
 
     void onReplyRead(boost::system::error_code error)
@@ -267,7 +267,7 @@
     Transport::ClosedHandler closedHandler_;
     Connection::ReplyHandler replyHandler_; // Set while an exchange is running.
     http::request<http::string_body> request_;
-    std::optional<http::response_parser<http::string_body>> parser_;
+    std::optional<http::response_parser<internal::ReceivedBody>> parser_;
     beast::flat_buffer buffer_{maxUnparsedBytes};
     bool bytesSent_ = false;                         // Whether any byte of the running exchange's request may have been sent.
     std::function<bool(const WireReply &)> belongs_; // Of the running exchange; whether a reply is to its request.
--- a/tests/unit/BadInputTest.cpp
+++ b/tests/unit/BadInputTest.cpp
@@ -29,6 +29,8 @@
         {"not HTTP", "nonsense\r\n\r\n", "400"},
         {"header too large", "POST /v1/search HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n", "431"},
         {"body too large", "POST /v1/search HTTP/1.1\r\nHost: x\r\nContent-Length: 900000\r\n\r\n", "413"},
+        {"body too large, with its first bytes", "POST /v1/search HTTP/1.1\r\nHost: x\r\nContent-Length: 900000\r\n\r\nzzz", "413"},
+        {"body larger than memory", "POST /v1/search HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000000000000\r\n\r\nX: y\r\n\r\n", "413"},
         {"chunk extension without end",
          "POST /v1/search HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5;" + std::string(200'000, 'x'),
          "400"},
--- a/tests/unit/HttpTransportTest.cpp
+++ b/tests/unit/HttpTransportTest.cpp
@@ -68,9 +68,19 @@
         close();
     }
 
-    void send(const std::string &bytes) const
+    void send(const std::string &bytes)
     {
-        ::send(connection_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        const auto count = ::send(connection_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        unsent_ = bytes.substr(static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    }
+
+    /// Sends what the socket had no room for in the last send(), as the host reads.
+    void sendRest()
+    {
+        send(std::string(unsent_));
+        if (!unsent_.empty()) {
+            streamTimer_ = loop_.callAt(clock_.now() + pollInterval, [this] { sendRest(); });
+        }
     }
 
     /// Sends \p bytes again and again, as fast as the host reads, until it closes the connection or \p limit bytes are sent.
@@ -119,6 +129,7 @@
     std::vector<std::string> responses_;
     std::size_t nextResponse_ = 0;
     std::string received_;
+    std::string unsent_; // Bytes of the last send() that the socket had no room for.
     TimerId timer_ = TimerId::None;
     TimerId streamTimer_ = TimerId::None;
 };
@@ -417,3 +428,38 @@
         CHECK(fixture.target.sentWithoutEnd < limit / 2);
     }
 }
+
+// Guards against a response whose announced length ends the process: the parser reserved it although it exceeds the limit.
+TEST_CASE("HTTP transport: a response that announces more than the limit is an error as soon as its head is read")
+{
+    struct Announcement {
+        std::string name;
+        std::string status;
+        std::string length;
+        std::string body;
+    };
+    const std::vector<Announcement> announcements = {
+        {"more than memory, with bytes of the body", "200 OK", "1000000000000000", std::string(1'000, 'z')},
+        {"more than memory, without a body", "200 OK", "1000000000000000", ""},
+        {"of a refusal", "503 Service Unavailable", "1000000000000000", "z"},
+        {"the largest number", "200 OK", "18446744073709551615", "z"},
+        {"one byte more than the limit", "200 OK", "4194305", "z"},
+    };
+    std::uint16_t port = 29'460;
+    for (const Announcement &announcement : announcements) {
+        INFO(announcement.name);
+        TransportFixture fixture(port++,
+                                 {"HTTP/1.1 " + announcement.status + "\r\nX-Magnoliaspan-Request-Id: a\r\nContent-Length: "
+                                  + announcement.length + "\r\n\r\n" + announcement.body});
+        const WireReply reply = fixture.exchange(platformRequest("a"));
+        CHECK(reply.error == TransportError::MalformedReply);
+        CHECK(reply.bytesSent);
+    }
+}
+
+TEST_CASE("HTTP transport: a response of the largest size is complete")
+{
+    TransportFixture fixture(29'466, {httpResponse("a", std::string(4'194'304, 'z'))});
+    fixture.target.afterResponse = [&fixture] { fixture.target.sendRest(); };
+    CHECK(fixture.exchange(request("a")).body.size() == 4'194'304);
+}
