Keep exceptions in the event loop, and those of one request with that request

Cause: EventLoop::run had no handler for exceptions.

Change: an exception while a request is handled ends that request with 500. Any other is logged and counted, and the host ends as after SIGTERM. Weighed: to go on, but what the handler had yet to do, such as the next watch of the store, may never be done; to end at once, which loses the requests in flight. Without onException() the exception still leaves run(), so tests see it.

--- a/src/app/ForwardCommand.cpp
+++ b/src/app/ForwardCommand.cpp
@@ -113,6 +113,7 @@
         host_.serving().onStageChanged([this](ServingStage stage) { onStageChanged(stage); });
         loop_.onStopSignal([this] { host_.stop(); });
         loop_.onReloadSignal([this] { reloadSettings(); });
+        loop_.onException([this](std::string_view reason) { onException(reason); });
         settingsTimer_.start();
         host_.start();
         loop_.run();
@@ -137,10 +138,19 @@
     {
         return host_.metrics()
                + fmt::format("magnoliaspan_caller_connections {}\nmagnoliaspan_log_lines_dropped_total {}\n"
-                             "magnoliaspan_peer_datagrams_unsent_total {}\n",
+                             "magnoliaspan_peer_datagrams_unsent_total {}\nmagnoliaspan_exceptions_total {}\n",
                              callerServer_.connections(),
                              logWriter_->dropped(),
-                             peerPort_.sendFailures());
+                             peerPort_.sendFailures(),
+                             exceptions_);
+    }
+
+    // The state that the handler left behind is unknown: requests in progress get their responses, and the process ends.
+    void onException(std::string_view reason)
+    {
+        ++exceptions_;
+        logger_.error("shutdown: exception in the event loop, the host stops reason=\"{}\"", reason);
+        host_.stop();
     }
 
     void applyLimits(const ListenerLimits &limits)
@@ -191,6 +201,7 @@
     std::string settingsFile_;
     std::string settingsText_; // Content as last read, to detect changes.
     Duration shutdownLimit_;
+    std::uint64_t exceptions_ = 0; // That reached the event loop.
     TimePoint shutdownDeadline_{}; // The process exits at this time even if connections are still open.
     std::shared_ptr<LogWriter> logWriter_;
     spdlog::logger logger_;
--- a/src/app/ServeCommand.cpp
+++ b/src/app/ServeCommand.cpp
@@ -118,6 +118,11 @@
         }
     });
     loop.onStopSignal([&host] { host.stop(); });
+    // The state that the handler left behind is unknown: requests in progress get their responses, and the process ends.
+    loop.onException([&](std::string_view reason) {
+        logger->error("shutdown: exception in the event loop, the host stops reason=\"{}\"", reason);
+        host.stop();
+    });
     host.start();
     loop.run();
     logger->flush();
--- a/src/forward/ForwardService.cpp
+++ b/src/forward/ForwardService.cpp
@@ -15,6 +15,7 @@
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusInternalError = 500;
 // A host that has just started reads the table within a few hundred milliseconds.
 constexpr Duration noTableRetryAfter = std::chrono::milliseconds(200);
 // Covers three round trips between regions and the response of the source; a quarter of the shortest latency goals
@@ -105,6 +106,19 @@
 }
 
 Service::CancelFunction ForwardService::handle(ServiceRequest incoming, ReplyHandler handler)
+{
+    // An exception concerns this request only as long as it is the one being handled.
+    try {
+        return admit(std::move(incoming), handler);
+    } catch (const std::exception &error) {
+        environment_.journal.record(LogCategory::Admit, "", fmt::format("request failed with an exception reason=\"{}\"", error.what()));
+        environment_.counters.add("magnoliaspan_request_exceptions_total");
+        handler(refusalReply(statusInternalError, "internal error", std::nullopt));
+        return {};
+    }
+}
+
+Service::CancelFunction ForwardService::admit(ServiceRequest incoming, ReplyHandler handler)
 {
     ForwardRequest request = environment_.codec.decodeRequest(std::move(incoming));
     if (registry_.table()) {
@@ -236,7 +250,13 @@
     auto operation = std::make_shared<ForwardOperation>(
         environment_, replicas_, std::move(context), std::move(resolved.services), resolved.shards, std::move(finished));
     operations_.emplace(number, operation);
-    operation->start();
+    try {
+        operation->start();
+    } catch (...) {
+        operations_.erase(number);
+        operation->cancel();
+        throw;
+    }
     return [this, number] {
         const auto found = operations_.extract(number);
         if (!found.empty()) {
--- a/src/forward/ForwardService.h
+++ b/src/forward/ForwardService.h
@@ -52,6 +52,7 @@
         TimerId timer = TimerId::None;
     };
 
+    CancelFunction admit(ServiceRequest incoming, ReplyHandler handler);
     CancelFunction enqueueUntilTable(ForwardRequest request, ReplyHandler handler);
     CancelFunction serve(ForwardRequest request, ReplyHandler handler);
     CancelFunction run(std::shared_ptr<CallContext> context, ForwardOperation::Handler handler);
--- a/src/net/EventLoop.cpp
+++ b/src/net/EventLoop.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <exception>
 #include <initializer_list>
 #include <unordered_map>
 
@@ -68,6 +69,7 @@
     SignalWaiter reloadSignals;
     std::unordered_map<std::uint64_t, std::unique_ptr<asio::steady_timer>> timers;
     std::uint64_t lastTimer = 0;
+    std::function<void(std::string_view)> exceptionHandler;
 };
 
 EventLoop::EventLoop(const Clock &clock)
@@ -106,11 +108,25 @@
     impl_->reloadSignals.start({SIGHUP}, std::move(handler));
 }
 
+void EventLoop::onException(std::function<void(std::string_view reason)> handler)
+{
+    impl_->exceptionHandler = std::move(handler);
+}
+
 void EventLoop::run()
 {
     const auto keepRunning = asio::make_work_guard(impl_->context);
     impl_->context.restart();
-    impl_->context.run();
+    while (!impl_->context.stopped()) {
+        try {
+            impl_->context.run();
+        } catch (const std::exception &error) {
+            if (!impl_->exceptionHandler) {
+                throw;
+            }
+            impl_->exceptionHandler(error.what());
+        }
+    }
 }
 
 void EventLoop::stop()
--- a/src/net/EventLoop.h
+++ b/src/net/EventLoop.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace boost::asio {
 class io_context;
@@ -31,7 +32,11 @@
     /// \brief Calls \p handler each time the process receives SIGHUP.
     void onReloadSignal(std::function<void()> handler);
 
+    /// \brief Calls \p handler with the reason of each exception that a handler of the loop lets out.
+    void onException(std::function<void(std::string_view reason)> handler);
+
     /// \brief Runs handlers until stop(), also while none is pending.
+    /// An exception of a handler leaves run() only if onException() was not called; what the handler had yet to do stays undone.
     void run();
 
     /// \brief Makes run() return after the current handler.
--- a/tests/unit/ForwardFixture.cpp
+++ b/tests/unit/ForwardFixture.cpp
@@ -42,6 +42,9 @@
 WireRequest FakeCodec::encodeRequest(const ForwardRequest &request, std::string_view targetId, Duration timeLeft) const
 {
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft).count();
+    if (throwing) {
+        throw std::length_error("cannot be encoded");
+    }
     return {request.target,
             request.body,
             "",
--- a/tests/unit/ForwardFixture.h
+++ b/tests/unit/ForwardFixture.h
@@ -25,6 +25,8 @@
     WireRequest encodeRequest(const ForwardRequest &request, std::string_view targetId, Duration timeLeft) const override;
     TargetResponse decodeResponse(WireReply reply) const override;
     ServiceReply encodeMergedResponse(std::span<const std::string> signatures, std::size_t missing, std::string body) const override;
+
+    bool throwing = false; ///< Whether encodeRequest() throws.
 };
 
 /// Source that returns prepared results; a call waits until one is published.
--- a/tests/unit/ForwardTest.cpp
+++ b/tests/unit/ForwardTest.cpp
@@ -111,6 +111,26 @@
     CHECK(std::abs(counts["z"] - 100) <= 1);
 }
 
+// Guards against a request that ends the host, and with it all other requests in flight, since it cannot be encoded.
+TEST_CASE("forward: a request whose handling throws is answered as failed, and others are served")
+{
+    ForwardFixture fixture;
+    fixture.addTarget("t1", {"s", "here"});
+    fixture.publish({ForwardFixture::route("a", ServiceDestination{"s"})});
+    const auto first = fixture.call("a");
+    fixture.run(milliseconds(300));
+    CHECK(first->status == 200);
+    fixture.codec.throwing = true;
+    const auto failed = fixture.call("a");
+    fixture.codec.throwing = false;
+    const auto next = fixture.call("a");
+    fixture.run(milliseconds(300));
+    CHECK(failed->status == 500);
+    CHECK(next->status == 200);
+    CHECK(fixture.host->metrics().find("magnoliaspan_requests_in_flight 0\n") != std::string::npos);
+    CHECK(fixture.host->metrics().find("magnoliaspan_request_exceptions_total 1\n") != std::string::npos);
+}
+
 TEST_CASE("forward: a non-idempotent request is not sent again when its response and its timer are due at once")
 {
     ForwardFixture fixture;
