--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -140,6 +140,25 @@
 }
 
 TEST_CASE("platform: mutated values are decoded or a decode failure")
+// Guards against a value of the store, or of a host that passes it on, whose padding is counted before it is checked.
+TEST_CASE("platform: a value that is not base64 is a decode failure")
+{
+    const auto decoder = platform::makeDecoder();
+    const std::vector<std::string> malformed
+        = {"====", "=AAA", "A===", "AA=A", "AAAA====", "AAAA=", "A", "    ====", "AA\n=", "\xff\xff\xff\xff"};
+    for (const std::string &value : malformed) {
+        INFO(value);
+        const auto change = decoder->decode({"servers/i-1", 1, value});
+        REQUIRE(change);
+        REQUIRE(std::holds_alternative<DecodeFailure>(*change));
+        CHECK(std::get<DecodeFailure>(*change).reason == "value is not base64");
+    }
+    for (const std::string_view text : {"", "a", "ab", "abc", "abcd"}) {
+        const auto change = decoder->decode({"servers/i-1", 1, toBase64(text)});
+        CHECK(std::get<DecodeFailure>(*change).reason != "value is not base64");
+    }
+}
+
 {
     std::mt19937 random(7);
     for (int round = 0; round < 3'000; ++round) {
