--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -257,6 +257,20 @@
 }
 
 TEST_CASE("platform: malformed responses are errors, and status 410 is a lost history")
+// Guards against a field of another type than expected, which ended the process.
+TEST_CASE("platform: a page whose end is not stated as true or false is an error")
+{
+    for (const char *truncated : {"1", "\"true\"", "null", "[]"}) {
+        INFO(truncated);
+        StoreFixture fixture;
+        fixture.store.answers = {fmt::format(R"({{"items":[],"store_revision":6,"truncated":{}}})", truncated)};
+        CHECK(fixture.readAll().error);
+    }
+    StoreFixture fixture;
+    fixture.store.answers = {R"({"items":[],"store_revision":6})"};
+    CHECK_FALSE(fixture.readAll().error);
+}
+
 {
     StoreFixture fixture;
     for (const char *body : {"", "{}", "[1]", R"({"items":7,"store_revision":1})", R"({"items":[],"store_revision":"x"})"}) {
