--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -3,6 +3,7 @@
  */
 #include "Base64.h"
 #include "core/Counters.h"
+#include "core/Text.h"
 #include "platform/Adapter.h"
 #include "platform/StoreSource.h"
 #include "platform/StoreValues.h"
@@ -345,6 +346,32 @@
     CHECK(codec->decodeResponse(reply).keepAlive == std::chrono::hours(1));
 }
 
+// Guards against signatures of targets that together exceed what one header field can hold, which ended the process.
+TEST_CASE("platform: the signatures of a merged response are spread over as many header fields as they need")
+{
+    const auto codec = platform::makeCodec();
+    constexpr std::size_t maxFieldBytes = 65'000;
+    std::vector<std::string> signatures;
+    for (int shard = 0; shard < 225; ++shard) {
+        signatures.push_back(fmt::format("{}-{}", shard, std::string(4'000, 's')));
+    }
+    const ServiceReply reply = codec->encodeMergedResponse(signatures, 0, "");
+    std::vector<std::string> sent;
+    for (const WireHeader &header : reply.headers) {
+        CHECK(header.value.size() < maxFieldBytes);
+        if (header.name != "X-Magnoliaspan-Part-Stamps") {
+            continue;
+        }
+        for (const std::string_view part : splitAtCommas(header.value)) {
+            sent.emplace_back(part.substr(part.find_first_not_of(' ')));
+        }
+    }
+    CHECK(sent == signatures);
+    const ServiceReply usual = codec->encodeMergedResponse(std::vector<std::string>{"a", "b"}, 1, "");
+    REQUIRE(usual.headers.size() == 2);
+    CHECK(usual.headers[0].value == "a, b");
+}
+
 TEST_CASE("platform: headers and status of a target's response are decoded")
 {
     const auto codec = platform::makeCodec();
