Send requests with a body whatever their method

A caller that sent TRACE with a body ended the host: prepare_payload() throws std::invalid_argument. The length is set directly now.

Measured: 'a request with a body is sent whatever its method' failed before at TRACE with that exception; passes now.

--- a/src/net/HttpTransport.cpp
+++ b/src/net/HttpTransport.cpp
@@ -139,7 +139,15 @@
             request_.insert(header.name, header.value);
         }
         request_.body() = std::move(request.body);
-        request_.prepare_payload();
+        // prepare_payload() throws for a method that should not have a body.
+        if (!request_.body().empty() || hasLengthWhenEmpty(request_.method())) {
+            request_.content_length(request_.body().size());
+        }
+    }
+
+    static bool hasLengthWhenEmpty(http::verb method)
+    {
+        return method == http::verb::post || method == http::verb::put || method == http::verb::options;
     }
 
     void readReply()
--- a/tests/unit/HttpTransportTest.cpp
+++ b/tests/unit/HttpTransportTest.cpp
@@ -96,6 +96,12 @@
         }
     }
 
+    /// \returns the bytes received before the last response.
+    const std::string &lastRequest() const
+    {
+        return lastRequest_;
+    }
+
     std::function<void()> afterResponse; ///< Called after each response.
     std::size_t maxReadBytes = 65'536;   ///< Bytes read from the socket before a response.
     std::size_t sentWithoutEnd = 0;      ///< Bytes that sendWithoutEnd() has handed to the socket.
@@ -112,7 +118,7 @@
             received_.append(bytes, 0, static_cast<std::size_t>(count));
         }
         if (received_.find("\r\n\r\n") != std::string::npos && nextResponse_ < responses_.size()) {
-            received_.clear();
+            lastRequest_ = std::exchange(received_, {});
             maxReadBytes = nextResponse_ + 1 < responses_.size() ? maxReadBytes : 0;
             send(responses_[nextResponse_++]);
             if (afterResponse) {
@@ -129,6 +135,7 @@
     std::vector<std::string> responses_;
     std::size_t nextResponse_ = 0;
     std::string received_;
+    std::string lastRequest_;
     std::string unsent_; // Bytes of the last send() that the socket had no room for.
     TimerId timer_ = TimerId::None;
     TimerId streamTimer_ = TimerId::None;
@@ -463,3 +470,19 @@
     fixture.target.afterResponse = [&fixture] { fixture.target.sendRest(); };
     CHECK(fixture.exchange(request("a")).body.size() == 4'194'304);
 }
+
+// Guards against a request of a caller that the HTTP library refuses to prepare: its exception ended the process.
+TEST_CASE("HTTP transport: a request with a body is sent whatever its method")
+{
+    std::uint16_t port = 29'470;
+    for (const char *method : {"TRACE", "GET", "HEAD", "DELETE", "OPTIONS", "OWN"}) {
+        INFO(method);
+        TransportFixture fixture(port++, {httpResponse("a", "")});
+        WireRequest wire = request("a", "body");
+        wire.method = method;
+        CHECK_FALSE(fixture.exchange(std::move(wire)).error);
+        CHECK(fixture.target.lastRequest().starts_with(std::string(method) + " /x HTTP/1.1\r\n"));
+        CHECK(fixture.target.lastRequest().find("Content-Length: 4\r\n") != std::string::npos);
+        CHECK(fixture.target.lastRequest().ends_with("\r\n\r\nbody"));
+    }
+}
