Refuse header fields that the HTTP library cannot hold

With a published limit above 64 KB, a field of more than that ended the host: the parser throws std::length_error. The limit in force is that of the library at most; such a request gets 431.

Measured: 'a header field beyond 64 KB' failed before with that exception; passes now.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -28,6 +28,8 @@
 constexpr int listenBacklog = 1'024;
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 constexpr std::size_t maxUnparsedBytes = 65'536;
+// The parser throws for a longer field, with its name or value.
+constexpr std::size_t maxFieldBytes = 65'533;
 
 std::string headerValue(const http::request<internal::ReceivedBody> &request, std::string_view name)
 {
@@ -205,7 +207,7 @@
     {
         closeAfter(server_->limits.requestTimeout);
         parser_.emplace();
-        parser_->header_limit(static_cast<std::uint32_t>(server_->limits.maxHeaderBytes));
+        parser_->header_limit(static_cast<std::uint32_t>(std::min(maxFieldBytes, server_->limits.maxHeaderBytes)));
         parser_->body_limit(server_->limits.maxBodyBytes);
         // The parser waits for the end of chunk extensions and trailers in the buffer; its limits don't cover these.
         buffer_.max_size(std::max(maxUnparsedBytes, server_->limits.maxHeaderBytes));
--- a/tests/unit/BadInputTest.cpp
+++ b/tests/unit/BadInputTest.cpp
@@ -110,3 +110,13 @@
     REQUIRE(bodies[0].find("\"text\":\"first\"") != std::string::npos);
     REQUIRE(bodies[1].find("\"text\":\"second\"") != std::string::npos);
 }
+
+// Guards against a header field longer than the HTTP library can hold, under limits that would admit it: it ended the process.
+TEST_CASE("caller port: a header field beyond 64 KB is refused also where the limit is higher", "[callers]")
+{
+    HttpServerLimits limits;
+    limits.maxHeaderBytes = 200'000;
+    SocketFixture fixture(21'060, limits);
+    const std::string reply = fixture.sendRaw("POST /v1/search HTTP/1.1\r\nX: " + std::string(100'000, 'x') + "\r\n\r\n");
+    CHECK(reply.substr(9, 3) == "431");
+}
