Bring numbers from the store and from other hosts into their range

Times that a Duration cannot hold overflowed (undefined behaviour), and weights below zero or of immense size made the credits of a split meaningless. They become the nearest valid value, so that one number does not keep the rest of a configuration from use; an integer beyond 64 bits is malformed; listener limits below zero leave the default ones.

--- a/src/handoff/HandoffMessages.cpp
+++ b/src/handoff/HandoffMessages.cpp
@@ -5,6 +5,7 @@
 
 #include "core/Hmac.h"
 
+#include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
 
@@ -65,6 +66,13 @@
         return number.value_or(0);
     }
 
+    /// Cuts longer times, whose sum with an instant would overflow.
+    Duration readDuration()
+    {
+        constexpr Duration max = std::chrono::hours(24);
+        return Duration(std::clamp<std::int64_t>(readNumber(), -max.count(), max.count()));
+    }
+
     std::vector<WireHeader> readHeaders()
     {
         std::vector<WireHeader> headers;
@@ -143,8 +151,8 @@
     call.request.method = reader.readString();
     call.request.target = reader.readString();
     call.request.host = reader.readString();
-    call.request.timeLeft = Duration(reader.readNumber());
-    call.goalLeft = Duration(reader.readNumber());
+    call.request.timeLeft = reader.readDuration();
+    call.goalLeft = reader.readDuration();
     call.request.headers = reader.readHeaders();
     call.request.body = reader.readString();
     return reader.isComplete() ? std::optional(std::move(call)) : std::nullopt;
--- a/src/relay/RelayMessages.cpp
+++ b/src/relay/RelayMessages.cpp
@@ -6,6 +6,7 @@
 #include "core/Hmac.h"
 #include "request/JsonFields.h"
 
+#include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
 
@@ -31,6 +32,13 @@
     return value;
 }
 
+// Longer times are of no use, and would overflow a Duration.
+Duration toDuration(std::int64_t milliseconds)
+{
+    constexpr std::chrono::milliseconds max = std::chrono::hours(24);
+    return std::chrono::milliseconds(std::clamp<std::int64_t>(milliseconds, 0, max.count()));
+}
+
 bool readItem(const Json &json, PublishedItem &item)
 {
     if (!json.is_object()) {
@@ -78,7 +86,7 @@
     if (!revision || !era || !waitMs) {
         return std::nullopt;
     }
-    return RelayRequest{StatePosition{*era, *revision}, std::chrono::milliseconds(*waitMs)};
+    return RelayRequest{StatePosition{*era, *revision}, toDuration(*waitMs)};
 }
 
 std::string RelayCodec::sign(std::string_view text) const
@@ -131,7 +139,7 @@
     if (fields.has("source_unreachable")) {
         fields.read("source_unreachable", result.sourceUnreachable);
     }
-    result.age = std::chrono::milliseconds(age);
+    result.age = toDuration(age);
     const Json *items = fields.array("items");
     if (items == nullptr || !fields.good()) {
         return std::nullopt;
--- a/src/request/JsonFields.h
+++ b/src/request/JsonFields.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -60,11 +61,13 @@
     void read(const char *name, std::int64_t &value)
     {
         const Json *field = find(name);
-        if (field != nullptr && field->is_number_integer()) {
+        constexpr std::uint64_t max = std::numeric_limits<std::int64_t>::max();
+        const bool isTooLarge = field != nullptr && field->is_number_unsigned() && field->get<std::uint64_t>() > max;
+        if (field != nullptr && field->is_number_integer() && !isTooLarge) {
             value = field->get<std::int64_t>();
             return;
         }
-        fail(name, "an integer");
+        fail(name, "an integer of 64 bits");
     }
 
     void read(const char *name, double &value)
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -11,6 +11,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
 #include <fmt/format.h>
 #include <random>
 
@@ -140,7 +141,6 @@
     CHECK(std::get<DecodeFailure>(*change).reason.find("routes[0]") != std::string::npos);
 }
 
-TEST_CASE("platform: mutated values are decoded or a decode failure")
 // Guards against a value of the store, or of a host that passes it on, whose padding is counted before it is checked.
 TEST_CASE("platform: a value that is not base64 is a decode failure")
 {
@@ -160,6 +160,38 @@
     }
 }
 
+// Guards against numbers beyond what a time can hold, and against weights that are no shares.
+TEST_CASE("platform: numbers of a configuration that are out of range become the nearest valid ones")
+{
+    const auto parse = [](std::string_view good, std::string_view bad) {
+        std::string text(configuration);
+        text.replace(text.find(good), good.size(), bad);
+        const auto change = platform::decodeItem("op/config", text);
+        return std::get<TablePublished>(*change).table;
+    };
+    constexpr Duration longest = std::chrono::hours(24);
+    const std::string_view timeout = R"("timeout_ms":1500)";
+    CHECK(parse(timeout, R"("timeout_ms":9223372036854775807)")->find("a.example", "/x/1")->timeout == longest);
+    CHECK(parse(timeout, R"("timeout_ms":-1)")->find("a.example", "/x/1")->timeout == Duration::zero());
+    CHECK(parse(R"("latency_goal_ms":100)", R"("latency_goal_ms":9223372036854775807)")->find("a.example", "/x/1")->latencyGoal == longest);
+    CHECK(parse(R"("warmup_s":3.0)", R"("warmup_s":1e300)")->findService("s1")->warmUp == longest);
+    CHECK(parse(R"("warmup_per_s":0.5)", R"("warmup_per_s":-1)")->findService("s1")->coldRequestsPerSecond == 0);
+    CHECK(parse(R"("max_body_bytes":262144)", R"("max_body_bytes":-1)")->limits().maxBodyBytes == ListenerLimits{}.maxBodyBytes);
+    const std::string_view weight = R"("weight":3)";
+    const auto weightOf = [](const RoutingTablePtr &table) {
+        return std::get<SplitDestination>(table->find("a.example", "/x/y/1")->destination).services.front().weight;
+    };
+    CHECK(weightOf(parse(weight, R"("weight":-3)")) == 0);
+    CHECK(std::isfinite(weightOf(parse(weight, R"("weight":1e308)")) * 1e6));
+    std::string entry(target);
+    entry.replace(entry.find("1200"), 4, "9223372036854775807");
+    CHECK(std::get<TargetPublished>(*platform::decodeItem("servers/i-1", entry)).entry.coldLeft == longest);
+    std::string immense(configuration);
+    immense.replace(immense.find("1500"), 4, "18446744073709551615");
+    CHECK(std::holds_alternative<DecodeFailure>(*platform::decodeItem("op/config", immense)));
+}
+
+TEST_CASE("platform: mutated values are decoded or a decode failure")
 {
     std::mt19937 random(7);
     for (int round = 0; round < 3'000; ++round) {
@@ -257,7 +289,6 @@
     CHECK(std::holds_alternative<DecodeFailure>(result.changes[2]));
 }
 
-TEST_CASE("platform: malformed responses are errors, and status 410 is a lost history")
 // Guards against a field of another type than expected, which ended the process.
 TEST_CASE("platform: a page whose end is not stated as true or false is an error")
 {
@@ -272,6 +303,7 @@
     CHECK_FALSE(fixture.readAll().error);
 }
 
+TEST_CASE("platform: malformed responses are errors, and status 410 is a lost history")
 {
     StoreFixture fixture;
     for (const char *body : {"", "{}", "[1]", R"({"items":7,"store_revision":1})", R"({"items":[],"store_revision":"x"})"}) {
