--- a/src/app/ForwardHost.cpp
+++ b/src/app/ForwardHost.cpp
@@ -113,6 +113,7 @@
     Registry::Listener listener;
     listener.tableAccepted = [this](const RoutingTablePtr &table) {
         replicas_.onTableAccepted();
+        forwardService_.onTableAccepted(*table);
         if (listenerLimitsHandler_) {
             listenerLimitsHandler_(table->limits());
         }
--- a/src/forward/ForwardService.cpp
+++ b/src/forward/ForwardService.cpp
@@ -230,6 +230,11 @@
                [handler = std::move(handler)](OperationResult result) { handler(std::move(result.reply), result.servicesReachable); });
 }
 
+void ForwardService::onTableAccepted(const RoutingTable &table)
+{
+    splits_.retainRoutes(table);
+}
+
 void ForwardService::onContactLost()
 {
     const auto running = operations_;
--- a/src/forward/ForwardService.h
+++ b/src/forward/ForwardService.h
@@ -39,6 +39,9 @@
     /// \brief Passes on the requests that this host cannot complete, since it reaches no target any more.
     void onContactLost();
 
+    /// \brief Drops what is known of routes that \p table does not have.
+    void onTableAccepted(const RoutingTable &table);
+
     /// \returns the requests admitted within the last SlidingCount::window.
     unsigned recentRequests() const;
 
--- a/src/routing/Route.h
+++ b/src/routing/Route.h
@@ -24,6 +24,8 @@
 struct WeightedService {
     std::string service;
     double weight = 0; ///< Relative to the other services of the split; zero or more.
+
+    bool operator==(const WeightedService &) const = default;
 };
 
 /// \brief Sends each request to one target of one of several services, chosen by weight.
--- a/src/routing/RoutingTable.cpp
+++ b/src/routing/RoutingTable.cpp
@@ -30,6 +30,7 @@
     }
     for (std::size_t index = 0; index < routes_.size(); ++index) {
         byHost_[normalizedHost(routes_[index].host)].push_back(index);
+        names_.insert(routes_[index].name);
     }
     for (auto &[host, indexes] : byHost_) {
         std::stable_sort(indexes.begin(), indexes.end(), [this](std::size_t a, std::size_t b) {
@@ -69,6 +70,11 @@
     return nullptr;
 }
 
+bool RoutingTable::hasRoute(std::string_view name) const
+{
+    return names_.contains(name);
+}
+
 const ServiceSpec *RoutingTable::findService(std::string_view name) const
 {
     const auto found = services_.find(name);
--- a/src/routing/RoutingTable.h
+++ b/src/routing/RoutingTable.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -28,12 +29,16 @@
     /// \param host as in the request's Host header: any case, with or without a port.
     const Route *find(std::string_view host, std::string_view path) const;
 
+    /// \returns whether a route is named \p name.
+    bool hasRoute(std::string_view name) const;
+
     /// \returns the service named \p name, or null.
     const ServiceSpec *findService(std::string_view name) const;
 
 private:
     std::int64_t version_;
     std::vector<Route> routes_;
+    std::set<std::string, std::less<>> names_; // Of all routes.
     std::map<std::string, ServiceSpec, std::less<>> services_;
     ListenerLimits limits_;
     std::unordered_map<std::string, std::vector<std::size_t>> byHost_; // Invariant: indexes ordered by falling prefix length.
--- a/tests/unit/ForwardTest.cpp
+++ b/tests/unit/ForwardTest.cpp
@@ -131,6 +131,83 @@
     CHECK(fixture.host->metrics().find("magnoliaspan_request_exceptions_total 1\n") != std::string::npos);
 }
 
+// Guards against credits of earlier weights that send requests to a service that was taken out of its split.
+TEST_CASE("forward: a service whose weight becomes zero gets no further request, whatever the scale of the weights")
+{
+    const std::vector<WeightedService> before = {{"x", 95}, {"y", 5}};
+    for (const double smaller : {0.001, 1.0, 100.0}) {
+        for (int requests = 0; requests < 40; ++requests) {
+            INFO("weight " << smaller << " after " << requests << " requests");
+            WeightedRoundRobin choice;
+            for (int request = 0; request < requests; ++request) {
+                choice.next("r", before, 0.3);
+            }
+            const std::vector<WeightedService> after = {{"x", smaller}, {"y", 0}};
+            for (int request = 0; request < 200; ++request) {
+                REQUIRE(choice.next("r", after, 0.3) == "x");
+            }
+        }
+    }
+}
+
+TEST_CASE("forward: a split whose weights change keeps its new shares from the first request on")
+{
+    const std::vector<std::vector<WeightedService>> splits = {{{"x", 95}, {"y", 5}},
+                                                              {{"x", 0.5}, {"y", 0.5}},
+                                                              {{"y", 3'000}, {"x", 1'000}},
+                                                              {{"x", 1}, {"y", 1}, {"z", 2}},
+                                                              {{"z", 9}, {"x", 1}}};
+    WeightedRoundRobin choice;
+    for (const auto &split : splits) {
+        double total = 0;
+        for (const WeightedService &part : split) {
+            total += part.weight;
+        }
+        std::map<std::string, int> counts;
+        constexpr int requests = 60;
+        for (int request = 0; request < requests; ++request) {
+            ++counts[choice.next("r", split, 0.7)];
+        }
+        for (const WeightedService &part : split) {
+            INFO(part.service << " of weight " << part.weight << " got " << counts[part.service]);
+            CHECK(std::abs(counts[part.service] - requests * part.weight / total) <= 1);
+        }
+    }
+}
+
+TEST_CASE("forward: hosts that start a split together reach its small part at different requests")
+{
+    const std::vector<WeightedService> split = {{"x", 95}, {"y", 5}};
+    std::map<int, int> firstAt;
+    constexpr int hosts = 250;
+    for (int host = 0; host < hosts; ++host) {
+        WeightedRoundRobin choice;
+        int request = 0;
+        while (choice.next("r", split, static_cast<double>(host) / hosts) != "y") {
+            ++request;
+        }
+        ++firstAt[request];
+    }
+    // The cycle has 20 requests.
+    CHECK(firstAt.size() == 20);
+    for (const auto &[request, count] : firstAt) {
+        CHECK(count <= hosts / 10);
+    }
+}
+
+TEST_CASE("forward: the state of a split goes with its route")
+{
+    const Route kept = ForwardFixture::route("a", SplitDestination{{{"s", 1}, {"u", 1}}});
+    const Route dropped = ForwardFixture::route("b", SplitDestination{{{"s", 1}, {"u", 1}}});
+    WeightedRoundRobin choice;
+    for (const Route &route : {kept, dropped}) {
+        choice.next(route.name, std::get<SplitDestination>(route.destination).services, 0);
+    }
+    choice.retainRoutes(RoutingTable(2, {kept}, {}, {}));
+    CHECK(choice.size() == 1);
+    CHECK(choice.next("a", std::get<SplitDestination>(kept.destination).services, 0) == "u");
+}
+
 TEST_CASE("forward: a non-idempotent request is not sent again when its response and its timer are due at once")
 {
     ForwardFixture fixture;
