Learn the time-out of first attempts from recent requests

Callers saw: after one request with a much longer time-out, all others of its route at that host counted as retries past their latency goal: partial responses as soon as the least coverage was reached, refusals sooner. For the life of the host.

Cause: the longest time-out ever seen was kept by the route's name and taken for that of first attempts.

Change: the upper quartile of the last 64 time-outs of the route, dropped with the route. Weighed: the route's own time-out as a bound, which may be as long; a longest one that lapses, with which one caller in a few still spoils the rest.

--- a/src/forward/ForwardService.cpp
+++ b/src/forward/ForwardService.cpp
@@ -90,17 +90,17 @@
 {
     const TimePoint now = environment_.clock.now();
     const Duration callerTimeout = request.timeLeft.value_or(route.timeout);
-    // The time left of a retry is less than that of a first try. Its latency goal counts from the first try, which is taken to
-    // have had the longest time-out seen on the route.
-    Duration &longest = longestTimeout_[route.name];
-    longest = std::max(longest, callerTimeout);
+    // The time left of a retry is less than that of a first attempt, from which its latency goal counts.
+    CallerTimeouts &timeouts = callerTimeouts_[route.name];
+    timeouts.add(callerTimeout);
+    const Duration elapsed = std::max(Duration::zero(), timeouts.ofFirstAttempt() - callerTimeout);
     auto context = std::make_shared<CallContext>();
     context->fingerprint = fingerprint;
     context->request = std::move(request);
     context->table = registry_.table();
     context->route = &route;
     context->deadline = now + std::max(Duration(1), std::min(callerTimeout, route.timeout) - responseReserve);
-    context->goal = now + route.latencyGoal - (longest - callerTimeout);
+    context->goal = now + route.latencyGoal - elapsed;
     context->single = !std::holds_alternative<ShardedDestination>(route.destination);
     return context;
 }
@@ -233,6 +233,7 @@
 void ForwardService::onTableAccepted(const RoutingTable &table)
 {
     splits_.retainRoutes(table);
+    std::erase_if(callerTimeouts_, [&table](const auto &entry) { return !table.hasRoute(entry.first); });
 }
 
 void ForwardService::onContactLost()
--- a/src/forward/ForwardService.h
+++ b/src/forward/ForwardService.h
@@ -5,6 +5,7 @@
 
 #include "app/ActiveRequests.h"
 #include "core/SlidingCount.h"
+#include "forward/CallerTimeouts.h"
 #include "forward/ForwardOperation.h"
 #include "request/Service.h"
 #include "routing/WeightedRoundRobin.h"
@@ -75,7 +76,7 @@
     ActiveRequests &activeRequests_;
     WeightedRoundRobin splits_;
     std::mt19937_64 random_;
-    std::map<std::string, Duration, std::less<>> longestTimeout_; // Longest time-out given by callers so far, by route.
+    std::map<std::string, CallerTimeouts, std::less<>> callerTimeouts_; // By route.
     std::map<std::uint64_t, std::shared_ptr<ForwardOperation>> operations_;
     std::uint64_t lastOperation_ = 0;
     SlidingCount admitted_;
--- a/tests/unit/ForwardTest.cpp
+++ b/tests/unit/ForwardTest.cpp
@@ -2,6 +2,7 @@
  * Unit tests: requests, failures and load on a forwarding host. A test case for a load pattern names the pattern.
  */
 #include "ForwardFixture.h"
+#include "forward/CallerTimeouts.h"
 #include "forward/GreatestRecords.h"
 
 #include <catch2/catch.hpp>
@@ -346,6 +347,49 @@
     CHECK(response->body.size() == 5 * recordBytes);
 }
 
+// Guards against one caller with a long time-out after which all others of the route count as retries past their latency goal.
+TEST_CASE("forward: requests wait for their latency goal after one with a much longer time-out")
+{
+    ForwardFixture fixture;
+    const auto shards = fixture.addShards("s", 4, 1);
+    fixture.publish({ForwardFixture::route("g", ShardedDestination{shards, 5, 0.75})});
+    for (int request = 0; request < 4; ++request) {
+        fixture.call("g");
+        fixture.run(milliseconds(200));
+    }
+    fixture.call("g", seconds(60));
+    fixture.run(milliseconds(200));
+    // Late enough for a partial response without it, early enough for the goal.
+    fixture.targets["s3-0"]->work = milliseconds(60);
+    const auto first = fixture.call("g");
+    fixture.run(milliseconds(200));
+    CHECK(first->status == 200);
+    CHECK(first->header("missing") == "0");
+    const auto retry = fixture.call("g", milliseconds(1'900));
+    fixture.run(milliseconds(200));
+    CHECK(retry->status == 200);
+    CHECK(retry->header("missing") == "1");
+}
+
+TEST_CASE("forward: the time-out of first attempts is learned beside retries and callers with longer ones")
+{
+    CallerTimeouts timeouts;
+    CHECK(timeouts.ofFirstAttempt() == Duration::zero());
+    timeouts.add(seconds(2));
+    CHECK(timeouts.ofFirstAttempt() == seconds(2));
+    for (int request = 0; request < 30; ++request) {
+        timeouts.add(milliseconds(1'000 + request));
+        timeouts.add(seconds(2));
+        timeouts.add(request % 2 == 0 ? seconds(60) : seconds(2));
+    }
+    CHECK(timeouts.ofFirstAttempt() == seconds(2));
+    // A new version of the route may come with other callers.
+    for (int request = 0; request < 64; ++request) {
+        timeouts.add(milliseconds(500));
+    }
+    CHECK(timeouts.ofFirstAttempt() == milliseconds(500));
+}
+
 TEST_CASE("forward: pattern shard dark, a request that cannot reach its coverage is refused at once as not run")
 {
     ForwardFixture fixture;
