--- a/tests/unit/HttpTransportTest.cpp
+++ b/tests/unit/HttpTransportTest.cpp
@@ -480,7 +480,7 @@
         TransportFixture fixture(port++, {httpResponse("a", "")});
         WireRequest wire = request("a", "body");
         wire.method = method;
-        CHECK_FALSE(fixture.exchange(std::move(wire)).error);
+        CHECK_FALSE(fixture.exchange(wire).error);
         CHECK(fixture.target.lastRequest().starts_with(std::string(method) + " /x HTTP/1.1\r\n"));
         CHECK(fixture.target.lastRequest().find("Content-Length: 4\r\n") != std::string::npos);
         CHECK(fixture.target.lastRequest().ends_with("\r\n\r\nbody"));
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -383,8 +383,10 @@
 {
     const auto codec = platform::makeCodec();
     constexpr std::size_t maxFieldBytes = 65'000;
+    constexpr std::size_t shards = 225;
     std::vector<std::string> signatures;
-    for (int shard = 0; shard < 225; ++shard) {
+    signatures.reserve(shards);
+    for (std::size_t shard = 0; shard < shards; ++shard) {
         signatures.push_back(fmt::format("{}-{}", shard, std::string(4'000, 's')));
     }
     const ServiceReply reply = codec->encodeMergedResponse(signatures, 0, "");
