--- a/src/forward/CrashRecord.cpp
+++ b/src/forward/CrashRecord.cpp
@@ -4,14 +4,15 @@
 #include "forward/CrashRecord.h"
 
 #include <algorithm>
-#include <optional>
 
 namespace magnoliaspan {
 
 namespace {
 
-// Enough for a request over all shards of a deployment; more losses of one try would not change a decision.
+// Bounds the time of a decision. Decisions need the losses one after another, of which there are a few before a request is refused.
 constexpr std::size_t maxKept = 64;
+// More targets than the hosts of a deployment reach with one request at the same time.
+constexpr std::size_t maxSpare = 1'024;
 // Targets that fail for one reason are lost within about this time.
 constexpr Duration companyWindow = std::chrono::milliseconds(500);
 // A report is on its way for this long at most; its times seem later than they were by as much.
@@ -28,8 +29,40 @@
 {
     const bool known
         = std::any_of(losses_.begin(), losses_.end(), [&loss](const TargetLoss &one) { return one.instance == loss.instance; });
-    if (!known && losses_.size() < maxKept) {
-        losses_.push_back(loss);
+    if (known || spare_.contains(loss.instance)) {
+        return;
+    }
+    if (losses_.size() >= maxKept) {
+        dropSpareLoss();
+    }
+    losses_.push_back(loss);
+}
+
+// Drops one of the losses at the time of most losses that is not counted, so that no decision changes.
+void CrashRecord::dropSpareLoss()
+{
+    std::set<std::uint64_t> counted;
+    for (const bool confirmedOnly : {true, false}) {
+        for (const TargetLoss &loss : sequence(confirmedOnly, false)) {
+            counted.insert(loss.instance);
+        }
+    }
+    auto spare = losses_.begin();
+    std::ptrdiff_t most = 0;
+    for (auto loss = losses_.begin(); loss != losses_.end(); ++loss) {
+        const auto near
+            = std::count_if(losses_.begin(), losses_.end(), [&loss](const TargetLoss &one) { return isNear(one.lostAt, loss->lostAt); });
+        if (near <= most || counted.contains(loss->instance)) {
+            continue;
+        }
+        most = near;
+        spare = loss;
+    }
+    const std::uint64_t instance = spare->instance;
+    losses_.erase(spare);
+    std::erase_if(gone_, [instance](const GoneTarget &target) { return target.instance == instance; });
+    if (spare_.size() < maxSpare) {
+        spare_.insert(instance);
     }
 }
 
@@ -87,9 +120,13 @@
 {
     const bool matters = std::any_of(losses_.begin(), losses_.end(), [at](const TargetLoss &loss) { return isNear(loss.lostAt, at); });
     const bool known = std::any_of(gone_.begin(), gone_.end(), [instance](const GoneTarget &one) { return one.instance == instance; });
-    if (matters && !known && gone_.size() < maxKept) {
-        gone_.push_back({instance, at});
+    if (!matters || known || spare_.contains(instance)) {
+        return;
     }
+    if (gone_.size() >= maxKept) {
+        gone_.erase(std::min_element(gone_.begin(), gone_.end(), [](const GoneTarget &a, const GoneTarget &b) { return a.at < b.at; }));
+    }
+    gone_.push_back({instance, at});
 }
 
 void CrashRecord::keepLastLoss()
@@ -117,7 +154,7 @@
     return others >= own;
 }
 
-unsigned CrashRecord::countSequence(bool confirmedOnly, bool aloneOnly) const
+std::vector<TargetLoss> CrashRecord::sequence(bool confirmedOnly, bool aloneOnly) const
 {
     std::vector<TargetLoss> counted;
     for (const TargetLoss &loss : losses_) {
@@ -127,17 +164,20 @@
         counted.push_back(loss);
     }
     std::sort(counted.begin(), counted.end(), [](const TargetLoss &a, const TargetLoss &b) { return a.lostAt < b.lostAt; });
-    unsigned count = 0;
-    std::optional<TargetLoss> last;
+    std::vector<TargetLoss> result;
     for (const TargetLoss &loss : counted) {
-        const Duration error = last && (last->fromPeer || loss.fromPeer) ? peerTimeError : Duration::zero();
-        if (last && loss.sentAt < last->lostAt + error) {
+        const Duration error = !result.empty() && (result.back().fromPeer || loss.fromPeer) ? peerTimeError : Duration::zero();
+        if (!result.empty() && loss.sentAt < result.back().lostAt + error) {
             continue;
         }
-        ++count;
-        last = loss;
+        result.push_back(loss);
     }
-    return count;
+    return result;
+}
+
+unsigned CrashRecord::countSequence(bool confirmedOnly, bool aloneOnly) const
+{
+    return static_cast<unsigned>(sequence(confirmedOnly, aloneOnly).size());
 }
 
 bool CrashRecord::reachesLimit(bool confirmedOnly) const
--- a/src/forward/CrashRecord.h
+++ b/src/forward/CrashRecord.h
@@ -11,6 +11,7 @@
 #include "core/Time.h"
 
 #include <cstdint>
+#include <set>
 #include <vector>
 
 namespace magnoliaspan {
@@ -92,12 +93,15 @@
         TimePoint at;
     };
 
+    void dropSpareLoss();
     bool hadCompany(const TargetLoss &loss) const;
+    std::vector<TargetLoss> sequence(bool confirmedOnly, bool aloneOnly) const;
     unsigned countSequence(bool confirmedOnly, bool aloneOnly) const;
     bool reachesLimit(bool confirmedOnly) const;
 
     std::vector<TargetLoss> losses_; // Invariant: no instance twice; at most maxKept.
     std::vector<GoneTarget> gone_;   // Targets that went at about the time of a loss, of losses_ or not; at most maxKept.
+    std::set<std::uint64_t> spare_;  // Instances of losses that were dropped from losses_; at most maxSpare.
 };
 
 } // namespace magnoliaspan
--- a/tests/unit/CrashGuardTest.cpp
+++ b/tests/unit/CrashGuardTest.cpp
@@ -225,6 +225,51 @@
     }
 }
 
+// Guards against a full record that drops each further loss, so that the request goes on reaching targets.
+TEST_CASE("crashes: pattern query of death over many shards, losses after many at once are counted")
+{
+    CrashGuardFixture fixture;
+    const TimePoint sentAt = fixture.time.now() - milliseconds(5);
+    constexpr int targetsAtOnce = 200;
+    SECTION("seen by this host")
+    {
+        for (int index = 0; index < targetsAtOnce; ++index) {
+            const TargetEntry lost = target("s" + std::to_string(index));
+            fixture.guard.recordTargetLoss(request, lost, sentAt, false);
+            fixture.guard.recordTargetGone(lost);
+        }
+    }
+    SECTION("reported by other hosts")
+    {
+        for (std::uint64_t index = 0; index < targetsAtOnce; ++index) {
+            fixture.guard.mergeFromPeer(peerLoss(1'000 + index, milliseconds(5), Duration::zero()));
+        }
+    }
+    fixture.advance(seconds(2));
+    CHECK_FALSE(fixture.guard.refusedUntil(request));
+    fixture.loseTarget("t1");
+    CHECK_FALSE(fixture.guard.refusedUntil(request));
+    fixture.loseTarget("t2");
+    CHECK(fixture.guard.refusedUntil(request));
+}
+
+TEST_CASE("crashes: targets lost beside an innocent request are its company, however many were lost before")
+{
+    CrashGuardFixture fixture;
+    fixture.loseTarget("own");
+    for (int index = 0; index < 100; ++index) {
+        fixture.loseConnection("early" + std::to_string(index), Fingerprint{43});
+        fixture.guard.recordTargetGone(target("early" + std::to_string(index)));
+    }
+    for (int loss = 0; loss < 3; ++loss) {
+        fixture.advance(seconds(5));
+        fixture.loseTarget("t" + std::to_string(loss));
+        fixture.loseTarget("u" + std::to_string(loss), Fingerprint{44});
+        fixture.loseTarget("v" + std::to_string(loss), Fingerprint{44});
+        CHECK_FALSE(fixture.guard.refusedUntil(request));
+    }
+}
+
 TEST_CASE("crashes: trials of a suspect request run one at a time, then two, until no loss is left")
 {
     CrashGuardFixture fixture;
