--- /dev/null
+++ b/tests/unit/BrokenReplyTest.cpp
@@ -0,0 +1,274 @@
+/*
+ * Unit tests of responses that are not valid HTTP, from the bytes that a target, another host or the store sends to what a caller
+ * gets: a forwarding host with sockets to its targets and without any to callers and hosts.
+ */
+#include "ForwardFixture.h"
+#include "magnoliaspan/net.h"
+#include "platform/Adapter.h"
+#include "standins/RawTarget.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+using namespace magnoliaspan;
+using namespace magnoliaspan::testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Datagrams to other hosts, which do not exist.
+class NullDatagrams : public DatagramPort
+{
+public:
+    void send(const Endpoint &, std::string_view) override { }
+    void setDatagramHandler(Handler) override { }
+};
+
+/// Bytes that are no valid response, for $ID see RawTarget.
+struct BrokenReply {
+    std::string name;
+    std::string bytes;
+};
+
+const std::string signature = "X-Magnoliaspan-Response-Signature: s.$ID\r\n";
+const std::string idField = "X-Magnoliaspan-Request-Id: $ID\r\n";
+
+/// \returns a response that is complete but for what \p statusLine and \p fields make of it.
+std::string reply(const std::string &statusLine, const std::string &fields = "", const std::string &body = "broken")
+{
+    return statusLine + "\r\n" + idField + signature + fields + fmt::format("Content-Length: {}\r\n\r\n", body.size()) + body;
+}
+
+std::string soundReply(const std::string &body = "sound")
+{
+    return reply("HTTP/1.1 200 OK", "", body);
+}
+
+/// One host, whose targets send prepared bytes.
+class BrokenReplyFixture
+{
+public:
+    BrokenReplyFixture()
+    {
+        ForwardSettings settings;
+        settings.host = "host";
+        settings.zone = "here";
+        settings.regionOfZone = {{"here", "home"}};
+        settings.peerAddress = {"127.0.0.1", 1};
+        settings.peerKey = "key";
+        settings.shutdownAnnounce = std::chrono::seconds(2);
+        settings.shutdownLimit = std::chrono::seconds(5);
+        settings.watchTime = std::chrono::seconds(5);
+        settings.journalLines = 1'000;
+        settings.limits.hosts = 1;
+        settings.limits.extraSendRatio = 1;
+        settings.limits.extraSendSlack = 100;
+        host_ = std::make_unique<ForwardHost>(
+            ForwardHostEnvironment{clock_, loop_, transport_, discovery_, peers_, decoder_, *codec_, [](std::string_view) {}, 1}, settings);
+        host_->start();
+    }
+
+    RawTarget &addTarget(const std::string &service, const std::string &response)
+    {
+        TargetEntry entry;
+        entry.id = fmt::format("i-{}", targets_.size());
+        entry.service = service;
+        entry.zone = "here";
+        entry.slots = 8;
+        entry.startedAt = 1;
+        targets_.push_back(std::make_unique<RawTarget>(loop_, response));
+        entry.address = targets_.back()->endpoint();
+        entries_.push_back(entry);
+        return *targets_.back();
+    }
+
+    /// Publishes all targets and one route to \p destination, at most two targets for each request.
+    void publish(Destination destination, Repeatability repeatability)
+    {
+        Route route = ForwardFixture::route("r", std::move(destination), repeatability);
+        route.latencyGoal = std::chrono::seconds(1);
+        DiscoveryReadResult reading;
+        std::map<std::string, ServiceSpec> services;
+        for (const TargetEntry &entry : entries_) {
+            reading.changes.emplace_back(TargetPublished{entry});
+            services[entry.service] = {entry.service, 60, std::chrono::seconds(3), 0};
+        }
+        std::vector<ServiceSpec> specs;
+        specs.reserve(services.size());
+        for (const auto &[name, service] : services) {
+            specs.push_back(service);
+        }
+        reading.changes.emplace_back(
+            TablePublished{std::make_shared<RoutingTable>(1, std::vector<Route>{route}, std::move(specs), ListenerLimits{})});
+        reading.position.revision = 1;
+        discovery_.publish(std::move(reading));
+        run(milliseconds(20));
+    }
+
+    /// Starts a request; the result has status 0 until it is answered, which stops the loop.
+    std::shared_ptr<ServiceReply> start()
+    {
+        const std::string id = fmt::format("q{}", ++lastRequest_);
+        ServiceRequest request;
+        request.method = "GET";
+        request.target = "/r/x";
+        request.headers = {{"Host", "h"}, {"X-Magnoliaspan-Request-Id", id}, {"X-Magnoliaspan-Request-Deadline", "1500"}};
+        auto result = std::make_shared<ServiceReply>();
+        result->status = 0;
+        host_->forwardService().handle(std::move(request), [this, result](ServiceReply reply) {
+            *result = std::move(reply);
+            loop_.stop();
+        });
+        return result;
+    }
+
+    ServiceReply call()
+    {
+        const auto result = start();
+        run(std::chrono::seconds(3));
+        return *result;
+    }
+
+    /// Runs the loop until it is stopped, for \p duration at most.
+    void run(Duration duration)
+    {
+        const TimerId limit = loop_.callAt(clock_.now() + duration, [this] { loop_.stop(); });
+        loop_.run();
+        loop_.cancel(limit);
+    }
+
+private:
+    SystemClock clock_;
+    EventLoop loop_{clock_};
+    HttpTransport transport_{loop_};
+    NullDatagrams peers_;
+    NullItemDecoder decoder_;
+    std::unique_ptr<ForwardCodec> codec_ = platform::makeCodec();
+    ScriptedDiscovery discovery_{loop_, clock_};
+    std::vector<std::unique_ptr<RawTarget>> targets_;
+    std::vector<TargetEntry> entries_;
+    unsigned lastRequest_ = 0;
+    std::unique_ptr<ForwardHost> host_;
+};
+
+std::string headerOf(const ServiceReply &reply, std::string_view name)
+{
+    for (const WireHeader &header : reply.headers) {
+        if (sameHeader(header.name, name)) {
+            return header.value;
+        }
+    }
+    return "";
+}
+
+/// Checks that none of \p replies reaches a caller, on any way that a response takes.
+void checkNotDelivered(const std::vector<BrokenReply> &replies)
+{
+    for (const BrokenReply &broken : replies) {
+        INFO(broken.name);
+        SECTION("request that must not run twice: " + broken.name)
+        {
+            BrokenReplyFixture fixture;
+            RawTarget &first = fixture.addTarget("s", broken.bytes);
+            RawTarget &second = fixture.addTarget("s", broken.bytes);
+            fixture.publish(ServiceDestination{"s"}, Repeatability::NonIdempotent);
+            const ServiceReply got = fixture.call();
+            // 503 would promise that it has not run.
+            CHECK(got.status == 502);
+            CHECK(headerOf(got, "X-Magnoliaspan-Response-Signature").empty());
+            CHECK(first.requests() + second.requests() == 1);
+            first.setResponse(soundReply());
+            second.setResponse(soundReply());
+            for (int number = 0; number < 4; ++number) {
+                CHECK(fixture.call().status == 200);
+            }
+            CHECK(first.requestsOnOldConnections() + second.requestsOnOldConnections() == 0);
+        }
+        SECTION("request that may run at a second target: " + broken.name)
+        {
+            BrokenReplyFixture fixture;
+            RawTarget &faulty = fixture.addTarget("s", broken.bytes);
+            fixture.addTarget("s", soundReply());
+            fixture.publish(ServiceDestination{"s"}, Repeatability::Idempotent);
+            for (int number = 0; number < 6; ++number) {
+                const ServiceReply got = fixture.call();
+                CHECK(got.status == 200);
+                CHECK(got.body == "sound");
+                CHECK(headerOf(got, "X-Magnoliaspan-Response-Signature") == fmt::format("s.q{}", number + 1));
+                CHECK(got.headers.size() == 2);
+            }
+            CHECK(faulty.requests() > 0);
+        }
+        SECTION("second attempt: " + broken.name)
+        {
+            BrokenReplyFixture fixture;
+            RawTarget &one = fixture.addTarget("s", soundReply());
+            RawTarget &other = fixture.addTarget("s", soundReply());
+            fixture.publish(ServiceDestination{"s"}, Repeatability::Idempotent);
+            fixture.call();
+            one.setDelay(milliseconds(100));
+            other.setDelay(milliseconds(100));
+            const unsigned before = one.requests();
+            const auto got = fixture.start();
+            fixture.run(milliseconds(3));
+            RawTarget &second = one.requests() > before ? other : one;
+            const unsigned secondBefore = second.requests();
+            second.setDelay(milliseconds(0));
+            second.setResponse(broken.bytes);
+            fixture.run(std::chrono::seconds(3));
+            CHECK(got->status == 200);
+            CHECK(got->body == "sound");
+            CHECK(second.requests() == secondBefore + 1);
+        }
+        SECTION("shard of a gather: " + broken.name)
+        {
+            BrokenReplyFixture fixture;
+            const std::string record(16, 'r');
+            std::string brokenPart = broken.bytes;
+            fixture.addTarget("a", brokenPart);
+            fixture.addTarget("a", brokenPart);
+            fixture.addTarget("b", soundReply(record));
+            fixture.publish(ShardedDestination{{"a", "b"}, 4, 0.5}, Repeatability::Idempotent);
+            const ServiceReply got = fixture.call();
+            CHECK(got.status == 200);
+            CHECK(got.body == record);
+            CHECK(headerOf(got, "X-Magnoliaspan-Missing-Parts") == "1");
+            CHECK(headerOf(got, "X-Magnoliaspan-Part-Stamps") == "s.q1");
+        }
+    }
+}
+
+} // namespace
+
+// These never reached callers.
+TEST_CASE("response: a malformed line makes it no answer")
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n" + idField + signature;
+    const std::string end = "Content-Length: 6\r\n\r\nbroken";
+    const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n";
+    std::vector<BrokenReply> replies = {
+        {"status of two digits", reply("HTTP/1.1 20 OK")},
+        {"status of four digits", reply("HTTP/1.1 2000 OK")},
+        {"status without digits", reply("HTTP/1.1 2x0 OK")},
+        {"no status", reply("HTTP/1.1 OK")},
+        {"control byte in the reason", reply("HTTP/1.1 200 O\x01K")},
+        {"unknown version", reply("HTTP/3.1 200 OK")},
+        {"line without a colon", start + "X-A b\r\n" + end},
+        {"field without a name", start + ": b\r\n" + end},
+        {"control byte in a value", start + "X-A: b\x01\r\n" + end},
+        {"end of a line without a carriage return", start + "X-A: b\n" + end},
+        {"carriage return within a line", start + "X-A: b\rX-B: c\r\n" + end},
+        {"null byte in a value", start + "X-A: b" + std::string(1, '\0') + "\r\n" + end},
+    };
+    for (const char byte : {' ', '\t', '\x01', '\x0b', '\x7f', '\0'}) {
+        const std::string name = fmt::format("byte {:#04x}", static_cast<unsigned>(byte));
+        const std::string inside = std::string("X-") + byte + "A: b\r\n";
+        const std::string before = std::string("X-A") + byte + ": b\r\n";
+        replies.push_back({name + " in a name", fmt::format("{}{}{}", start, inside, end)});
+        replies.push_back({name + " before the colon", fmt::format("{}{}{}", start, before, end)});
+        replies.push_back({name + " in the first name", fmt::format("HTTP/1.1 200 OK\r\n{}{}{}{}", inside, idField, signature, end)});
+        replies.push_back({name + " in a name of a trailer", fmt::format("{}{}{}\r\n", start, chunks, inside)});
+        replies.push_back({name + " before the colon of a trailer", fmt::format("{}{}{}\r\n", start, chunks, before)});
+    }
+    checkNotDelivered(replies);
+}
