Parse responses in a class of their own

All responses (of targets, other hosts and the store) come through one place, the client session of HttpTransport, but no code of the product saw their lines: Boost's message parser joins a continued line to the field above, and adds trailers to the fields of the head, before anything can tell. internal::ReplyParser derives from the parser's base class, which shows the lines as they are parsed, does no I/O, and replaces internal::readMessage.

Ruled out: to check the fields of the finished message (the lines are gone by then), to filter the bytes between socket and parser (that needs a second parser of chunks).

--- a/src/net/HttpTransport.cpp
+++ b/src/net/HttpTransport.cpp
@@ -3,12 +3,13 @@
  */
 #include "net/HttpTransport.h"
 
-#include "net/internal/ReadMessage.h"
+#include "net/internal/ReplyParser.h"
 #include "transport/TransportError.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http.hpp>
 #include <cassert>
 #include <optional>
@@ -152,10 +153,44 @@
 
     void readReply()
     {
-        parser_.emplace();
-        parser_->body_limit(maxReplyBytes);
-        internal::readMessage(
-            socket_, buffer_, *parser_, [self = shared_from_this()](boost::system::error_code error) { self->onReplyRead(error); });
+        parser_.emplace(maxReplyBytes);
+        parseArrived();
+    }
+
+    void parseArrived()
+    {
+        boost::system::error_code error;
+        const auto arrived = buffer_.data();
+        if (arrived.size() > 0) {
+            buffer_.consume(parser_->parse({static_cast<const char *>(arrived.data()), arrived.size()}, error));
+        }
+        const std::size_t room = beast::read_size(buffer_, maxUnparsedBytes);
+        if (!error && !parser_->isComplete() && room == 0) {
+            error = http::error::buffer_overflow;
+        }
+        if (error || parser_->isComplete()) {
+            onReplyRead(error);
+            return;
+        }
+        socket_.async_read_some(buffer_.prepare(room), [self = shared_from_this()](boost::system::error_code readError, std::size_t count) {
+            self->onBytesRead(readError, count);
+        });
+    }
+
+    void onBytesRead(boost::system::error_code error, std::size_t count)
+    {
+        if (closing_) {
+            return;
+        }
+        buffer_.commit(count);
+        if (!error) {
+            parseArrived();
+            return;
+        }
+        if (error == asio::error::eof) {
+            parser_->parseEnd(error);
+        }
+        onReplyRead(error);
     }
 
     void onReplyRead(boost::system::error_code error)
@@ -170,8 +205,8 @@
             fail(ended ? TransportError::ConnectionLost : TransportError::MalformedReply);
             return;
         }
-        WireReply reply = takeReply();
-        const bool staysOpen = parser_->get().keep_alive();
+        WireReply reply = parser_->takeReply();
+        const bool staysOpen = parser_->staysOpen();
         if (belongs_ && !belongs_(reply)) {
             onUnaskedReply(staysOpen);
             return;
@@ -206,19 +241,6 @@
         }
     }
 
-    WireReply takeReply()
-    {
-        auto &message = parser_->get();
-        WireReply reply;
-        reply.bytesSent = true;
-        reply.status = message.result_int();
-        reply.body = std::move(message.body());
-        for (const auto &field : message.base()) {
-            reply.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-        }
-        return reply;
-    }
-
     void fail(TransportError error)
     {
         if (closing_ || !replyHandler_) {
@@ -275,7 +297,7 @@
     Transport::ClosedHandler closedHandler_;
     Connection::ReplyHandler replyHandler_; // Set while an exchange is running.
     http::request<http::string_body> request_;
-    std::optional<http::response_parser<internal::ReceivedBody>> parser_;
+    std::optional<internal::ReplyParser> parser_;
     beast::flat_buffer buffer_{maxUnparsedBytes};
     bool bytesSent_ = false;                         // Whether any byte of the running exchange's request may have been sent.
     std::function<bool(const WireReply &)> belongs_; // Of the running exchange; whether a reply is to its request.
--- /dev/null
+++ b/src/net/ReplyParser.cpp
@@ -0,0 +1,87 @@
+/*
+ * Implements the parser of responses with the parser of Boost.Beast.
+ */
+#include "net/internal/ReplyParser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <cassert>
+#include <utility>
+
+namespace magnoliaspan::internal {
+
+namespace http = boost::beast::http;
+
+ReplyParser::ReplyParser(std::size_t maxBodyBytes)
+{
+    body_limit(maxBodyBytes);
+    reply_.bytesSent = true;
+}
+
+std::size_t ReplyParser::parse(std::string_view arrived, Error &error)
+{
+    assert(!is_done() && "parse() called for a complete response");
+    error = {};
+    std::size_t parsed = 0;
+    // One element a call: an eager parser goes on after it has refused an announced length, and loses that error.
+    while (!error && !is_done() && parsed < arrived.size()) {
+        const std::string_view rest = arrived.substr(parsed);
+        parsed += put(boost::asio::buffer(rest.data(), rest.size()), error);
+    }
+    if (error == http::error::need_more) {
+        error = {};
+    }
+    return parsed;
+}
+
+void ReplyParser::parseEnd(Error &error)
+{
+    if (!got_some()) {
+        error = http::error::end_of_stream;
+        return;
+    }
+    put_eof(error);
+}
+
+bool ReplyParser::isComplete() const
+{
+    return is_done();
+}
+
+bool ReplyParser::staysOpen() const
+{
+    return keep_alive();
+}
+
+WireReply ReplyParser::takeReply()
+{
+    return std::move(reply_);
+}
+
+void ReplyParser::on_response_impl(int status, String, int, Error &)
+{
+    reply_.status = static_cast<unsigned>(status);
+}
+
+void ReplyParser::on_field_impl(http::field, String name, String value, Error &)
+{
+    reply_.headers.push_back({std::string(name), std::string(value)});
+}
+
+void ReplyParser::on_body_init_impl(const boost::optional<std::uint64_t> &, Error &) { }
+
+std::size_t ReplyParser::on_body_impl(String bytes, Error &)
+{
+    reply_.body.append(bytes.data(), bytes.size());
+    return bytes.size();
+}
+
+void ReplyParser::on_chunk_header_impl(std::uint64_t, String, Error &) { }
+
+std::size_t ReplyParser::on_chunk_body_impl(std::uint64_t, String bytes, Error &)
+{
+    reply_.body.append(bytes.data(), bytes.size());
+    return bytes.size();
+}
+
+} // namespace magnoliaspan::internal
--- /dev/null
+++ b/tests/unit/ReplyParserTest.cpp
@@ -0,0 +1,99 @@
+/*
+ * Unit tests of the parser of responses, without a network.
+ */
+#include "net/internal/ReplyParser.h"
+
+#include <catch2/catch.hpp>
+
+using namespace magnoliaspan;
+using internal::ReplyParser;
+
+namespace {
+
+constexpr std::size_t maxBodyBytes = 4'194'304;
+
+/// What becomes of bytes that arrive \p step at a time, before the connection ends.
+struct Parsed {
+    explicit Parsed(const std::string &bytes, std::size_t step = std::string::npos)
+    {
+        ReplyParser parser(maxBodyBytes);
+        std::size_t parsed = 0;
+        for (std::size_t arrived = 0; arrived < bytes.size() && !error && !parser.isComplete();) {
+            arrived += std::min(step, bytes.size() - arrived);
+            parsed += parser.parse(std::string_view(bytes).substr(parsed, arrived - parsed), error);
+        }
+        left = bytes.size() - parsed;
+        if (!error && !parser.isComplete()) {
+            parser.parseEnd(error);
+        }
+        if (!error) {
+            staysOpen = parser.staysOpen();
+            reply = parser.takeReply();
+        }
+    }
+
+    ReplyParser::Error error;
+    WireReply reply;
+    bool staysOpen = false;
+    std::size_t left = 0; ///< Bytes that were not parsed.
+};
+
+} // namespace
+
+TEST_CASE("reply parser: a response is the same in whatever pieces it arrives")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-A: b\r\nx-a:\r\nX-C:  d e \t\r\n";
+    const std::vector<std::string> responses = {
+        head + "Content-Length: 5\r\n\r\nwhole",
+        head + "Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nwh\r\n3\r\nole\r\n0\r\n\r\n",
+        head + "Connection: close\r\n\r\nwhole",
+    };
+    for (const std::string &bytes : responses) {
+        for (const std::size_t step : {std::size_t{1}, std::size_t{2}, std::size_t{7}, bytes.size()}) {
+            INFO(step << " bytes at a time: " << bytes);
+            const Parsed parsed(bytes, step);
+            CHECK_FALSE(parsed.error);
+            CHECK(parsed.reply.status == 200);
+            CHECK(parsed.reply.body == "whole");
+            CHECK(parsed.left == 0);
+            CHECK(parsed.staysOpen == (bytes.find("close") == std::string::npos));
+            REQUIRE(parsed.reply.headers.size() == 4);
+            CHECK(parsed.reply.headers[0].name == "X-A");
+            CHECK(parsed.reply.headers[0].value == "b");
+            CHECK(parsed.reply.headers[1].name == "x-a");
+            CHECK(parsed.reply.headers[1].value.empty());
+            CHECK(parsed.reply.headers[2].value == "d e");
+        }
+    }
+}
+
+TEST_CASE("reply parser: bytes behind a complete response are left")
+{
+    const Parsed parsed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1");
+    CHECK(parsed.reply.body == "whole");
+    CHECK(parsed.left == 8);
+}
+
+TEST_CASE("reply parser: a response that ends early is an error")
+{
+    for (const std::string &bytes : {std::string(),
+                                     std::string("HTTP/1.1 200 OK\r\nContent-Le"),
+                                     std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhol"),
+                                     std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n")}) {
+        INFO(bytes);
+        CHECK(Parsed(bytes).error);
+    }
+}
+
+// Guards against memory that is reserved for announced lengths.
+TEST_CASE("reply parser: takes the memory of what has arrived, not of what is announced")
+{
+    ReplyParser parser(maxBodyBytes);
+    const std::string arrived = "HTTP/1.1 200 OK\r\nContent-Length: 4194304\r\n\r\n" + std::string(100, 'z');
+    ReplyParser::Error error;
+    CHECK(parser.parse(arrived, error) == arrived.size());
+    CHECK_FALSE(error);
+    const WireReply reply = parser.takeReply();
+    CHECK(reply.body == std::string(100, 'z'));
+    CHECK(reply.body.capacity() < 1'000);
+}
