--- a/src/net/ReplyParser.cpp
+++ b/src/net/ReplyParser.cpp
@@ -12,6 +12,19 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+// Valid codes are 100 to 599 (RFC 9110, 15), of which 101 is an answer to a request for another protocol only: none is made here.
+bool isValidStatus(int status)
+{
+    constexpr int first = 100;
+    constexpr int last = 599;
+    constexpr int switchingProtocols = 101;
+    return status >= first && status <= last && status != switchingProtocols;
+}
+
+} // namespace
+
 ReplyParser::ReplyParser(std::size_t maxBodyBytes)
 {
     body_limit(maxBodyBytes);
@@ -58,8 +71,12 @@
     return std::move(reply_);
 }
 
-void ReplyParser::on_response_impl(int status, String, int, Error &)
+void ReplyParser::on_response_impl(int status, String, int, Error &error)
 {
+    if (!isValidStatus(status)) {
+        error = http::error::bad_status;
+        return;
+    }
     reply_.status = static_cast<unsigned>(status);
 }
 
--- a/src/net/internal/ReplyParser.h
+++ b/src/net/internal/ReplyParser.h
@@ -12,7 +12,8 @@
 namespace magnoliaspan::internal {
 
 /// \brief Parses one response.
-/// Does no I/O, and reserves no memory for an announced length.
+/// Does no I/O, and reserves no memory for an announced length. Beside what the HTTP library checks, it is an error if
+/// - the status is not a valid one, or 101, for which no request asks.
 class ReplyParser : private boost::beast::http::basic_parser<false>
 {
 public:
--- a/tests/unit/BrokenReplyTest.cpp
+++ b/tests/unit/BrokenReplyTest.cpp
@@ -240,6 +240,18 @@
 
 } // namespace
 
+TEST_CASE("response: a status that is not a final one is no answer")
+{
+    checkNotDelivered({
+        {"status 000", reply("HTTP/1.1 000 -")},
+        {"status 000 without a signature", "HTTP/1.1 000 -\r\n" + idField + "Content-Length: 6\r\n\r\nbroken"},
+        {"status 099", reply("HTTP/1.1 099 -")},
+        {"status 101, for which nobody asked", "HTTP/1.1 101 Switching\r\n" + idField + signature + "Upgrade: x\r\n\r\nbroken"},
+        {"status 600", reply("HTTP/1.1 600 -")},
+        {"status 999", reply("HTTP/1.1 999 -")},
+    });
+}
+
 // These never reached callers.
 TEST_CASE("response: a malformed line makes it no answer")
 {
--- a/tests/unit/ReplyParserTest.cpp
+++ b/tests/unit/ReplyParserTest.cpp
@@ -4,6 +4,7 @@
 #include "net/internal/ReplyParser.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 using namespace magnoliaspan;
 using internal::ReplyParser;
@@ -97,3 +98,15 @@
     CHECK(reply.body == std::string(100, 'z'));
     CHECK(reply.body.capacity() < 1'000);
 }
+
+TEST_CASE("reply parser: of all codes of three digits, 100 and 102 to 599 are valid")
+{
+    constexpr int codes = 1'000;
+    for (int code = 0; code < codes; ++code) {
+        INFO(code);
+        const Parsed parsed(fmt::format("HTTP/1.1 {:03} -\r\nContent-Length: 0\r\n\r\n", code));
+        const bool isValid = code >= 100 && code <= 599 && code != 101;
+        CHECK(!parsed.error == isValid);
+        CHECK(parsed.reply.status == (isValid ? static_cast<unsigned>(code) : 0));
+    }
+}
