--- a/src/net/HttpTransport.cpp
+++ b/src/net/HttpTransport.cpp
@@ -30,6 +30,8 @@
 constexpr unsigned httpVersion = 11;
 // A target in trouble may send a response twice; one that goes on is not waited for.
 constexpr unsigned maxUnaskedReplies = 3;
+// Likewise a target that goes on with interim responses, each of which a request may have several of.
+constexpr unsigned maxInterimReplies = 16;
 constexpr const char *authorizationField = "X-Peer-Authorization";
 
 /// Whether an idle connection can carry another exchange.
@@ -61,6 +63,7 @@
             asio::post(socket_.get_executor(), [self = shared_from_this()] { self->fail(TransportError::ConnectionLost); });
             return;
         }
+        interimReplies_ = 0;
         belongs_ = std::move(request.replyFilter);
         fillRequest(std::move(request));
         bytesSent_ = true;
@@ -205,6 +208,10 @@
             fail(ended ? TransportError::ConnectionLost : TransportError::MalformedReply);
             return;
         }
+        if (parser_->isInterim()) {
+            onInterimReply();
+            return;
+        }
         WireReply reply = parser_->takeReply();
         const bool staysOpen = parser_->staysOpen();
         if (belongs_ && !belongs_(reply)) {
@@ -228,6 +235,16 @@
         watchForClose();
     }
 
+    // The response follows. Callers are not sent interim responses: they have not asked for any.
+    void onInterimReply()
+    {
+        if (++interimReplies_ > maxInterimReplies) {
+            fail(TransportError::MalformedReply);
+        } else {
+            readReply();
+        }
+    }
+
     // The response to the running request may still follow.
     void onUnaskedReply(bool staysOpen)
     {
@@ -301,6 +318,7 @@
     beast::flat_buffer buffer_{maxUnparsedBytes};
     bool bytesSent_ = false;                         // Whether any byte of the running exchange's request may have been sent.
     std::function<bool(const WireReply &)> belongs_; // Of the running exchange; whether a reply is to its request.
+    unsigned interimReplies_ = 0;                    // Of the running exchange.
     unsigned unaskedReplies_ = 0;                    // Responses to other requests than the running one, on this connection.
     bool reusable_ = true;                           // Whether another exchange may start, as far as the last response tells.
     bool writing_ = false;                           // Whether the request is still being written.
--- a/src/net/ReplyParser.cpp
+++ b/src/net/ReplyParser.cpp
@@ -61,6 +61,13 @@
     return is_done();
 }
 
+bool ReplyParser::isInterim() const
+{
+    constexpr unsigned interimClass = 1;
+    constexpr unsigned codesOfClass = 100;
+    return reply_.status / codesOfClass == interimClass;
+}
+
 bool ReplyParser::staysOpen() const
 {
     return keep_alive();
--- a/src/net/internal/ReplyParser.h
+++ b/src/net/internal/ReplyParser.h
@@ -11,7 +11,7 @@
 
 namespace magnoliaspan::internal {
 
-/// \brief Parses one response.
+/// \brief Parses one response, interim or final.
 /// Does no I/O, and reserves no memory for an announced length. Beside what the HTTP library checks, it is an error if
 /// - the status is not a valid one, or 101, for which no request asks.
 class ReplyParser : private boost::beast::http::basic_parser<false>
@@ -34,6 +34,9 @@
 
     bool isComplete() const;
 
+    /// \returns whether the complete response is an interim one, which the response to the request follows.
+    bool isInterim() const;
+
     /// \returns whether the connection can carry another exchange, as far as the complete response tells.
     bool staysOpen() const;
 
--- a/tests/unit/BrokenReplyTest.cpp
+++ b/tests/unit/BrokenReplyTest.cpp
@@ -252,6 +252,49 @@
     });
 }
 
+TEST_CASE("response: an interim response is not the answer")
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n" + idField + signature + "\r\n";
+    SECTION("alone")
+    {
+        BrokenReplyFixture fixture;
+        RawTarget &target = fixture.addTarget("s", interim);
+        target.closeAfterResponses();
+        fixture.publish(ServiceDestination{"s"}, Repeatability::NonIdempotent);
+        CHECK(fixture.call().status == 502);
+        CHECK(target.requests() == 1);
+    }
+    SECTION("before the answer")
+    {
+        for (const char *first : {"100 Continue", "102 Processing", "103 Early Hints", "199 -"}) {
+            INFO(first);
+            BrokenReplyFixture fixture;
+            const std::string head = fmt::format("HTTP/1.1 {}\r\n", first);
+            RawTarget &target = fixture.addTarget("s", head + idField + signature + "\r\n" + head + "\r\n" + soundReply());
+            fixture.publish(ServiceDestination{"s"}, Repeatability::NonIdempotent);
+            for (int number = 0; number < 3; ++number) {
+                const ServiceReply got = fixture.call();
+                CHECK(got.status == 200);
+                CHECK(got.body == "sound");
+                CHECK(got.headers.size() == 2);
+            }
+            CHECK(target.requests() == 3);
+            // The interim responses belong to the request, so the connection stays in use.
+            CHECK(target.connections() == 1);
+        }
+    }
+    SECTION("in place of one that says that the request has not run")
+    {
+        BrokenReplyFixture fixture;
+        const std::string refusal = "HTTP/1.1 102 Processing\r\n" + idField + "X-Magnoliaspan-Not-Executed: 1\r\n\r\n" + soundReply();
+        RawTarget &one = fixture.addTarget("s", refusal);
+        RawTarget &other = fixture.addTarget("s", refusal);
+        fixture.publish(ServiceDestination{"s"}, Repeatability::NonIdempotent);
+        CHECK(fixture.call().body == "sound");
+        CHECK(one.requests() + other.requests() == 1);
+    }
+}
+
 // These never reached callers.
 TEST_CASE("response: a malformed line makes it no answer")
 {
--- a/tests/unit/ReplyParserTest.cpp
+++ b/tests/unit/ReplyParserTest.cpp
@@ -110,3 +110,22 @@
         CHECK(parsed.reply.status == (isValid ? static_cast<unsigned>(code) : 0));
     }
 }
+
+TEST_CASE("reply parser: an interim response ends with its head, whatever length it announces")
+{
+    for (const char *code : {"100", "102", "199"}) {
+        INFO(code);
+        ReplyParser parser(maxBodyBytes);
+        ReplyParser::Error error;
+        const std::string head = fmt::format("HTTP/1.1 {} -\r\nContent-Length: 5\r\n\r\n", code);
+        CHECK(parser.parse(head + "HTTP/", error) == head.size());
+        CHECK_FALSE(error);
+        REQUIRE(parser.isComplete());
+        CHECK(parser.isInterim());
+    }
+    ReplyParser parser(maxBodyBytes);
+    ReplyParser::Error error;
+    parser.parse("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", error);
+    REQUIRE(parser.isComplete());
+    CHECK_FALSE(parser.isInterim());
+}
