--- a/src/net/ReplyParser.cpp
+++ b/src/net/ReplyParser.cpp
@@ -23,6 +23,22 @@
     return status >= first && status <= last && status != switchingProtocols;
 }
 
+// Whether one of \p lines, up to the first empty one, begins with white space and so continues the line before it.
+bool hasContinuedLine(std::string_view lines)
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    for (auto at = lines.find(lineEnd); at != std::string_view::npos; at = lines.find(lineEnd, at + lineEnd.size())) {
+        const std::string_view next = lines.substr(at + lineEnd.size());
+        if (next.starts_with(' ') || next.starts_with('\t')) {
+            return true;
+        }
+        if (next.starts_with(lineEnd)) {
+            return false;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 ReplyParser::ReplyParser(std::size_t maxBodyBytes)
@@ -39,6 +55,12 @@
     // One element a call: an eager parser goes on after it has refused an announced length, and loses that error.
     while (!error && !is_done() && parsed < arrived.size()) {
         const std::string_view rest = arrived.substr(parsed);
+        // The library parses a field only when the first byte of the next line has arrived.
+        if (!is_header_done() && hasContinuedLine(rest)) {
+            error = http::error::bad_field;
+            return parsed;
+        }
+        arrivedEnd_ = rest.data() + rest.size();
         parsed += put(boost::asio::buffer(rest.data(), rest.size()), error);
     }
     if (error == http::error::need_more) {
@@ -100,7 +122,14 @@
     return bytes.size();
 }
 
-void ReplyParser::on_chunk_header_impl(std::uint64_t, String, Error &) { }
+void ReplyParser::on_chunk_header_impl(std::uint64_t size, String extensions, Error &error)
+{
+    // All trailers have arrived when the library parses the line of the last chunk, whose end they follow.
+    const char *lineEnd = extensions.data() + extensions.size();
+    if (size == 0 && hasContinuedLine({lineEnd, static_cast<std::size_t>(arrivedEnd_ - lineEnd)})) {
+        error = http::error::bad_field;
+    }
+}
 
 std::size_t ReplyParser::on_chunk_body_impl(std::uint64_t, String bytes, Error &)
 {
--- a/src/net/internal/ReplyParser.h
+++ b/src/net/internal/ReplyParser.h
@@ -13,7 +13,8 @@
 
 /// \brief Parses one response, interim or final.
 /// Does no I/O, and reserves no memory for an announced length. Beside what the HTTP library checks, it is an error if
-/// - the status is not a valid one, or 101, for which no request asks.
+/// - the status is not a valid one, or 101, for which no request asks;
+/// - a line of the head or of the trailers begins with white space, so that a reader may join it to the line before.
 class ReplyParser : private boost::beast::http::basic_parser<false>
 {
 public:
@@ -56,7 +57,8 @@
     std::size_t on_chunk_body_impl(std::uint64_t left, String bytes, Error &error) override;
     void on_finish_impl(Error &) override { }
 
-    WireReply reply_; // As far as it has been parsed.
+    WireReply reply_;                  // As far as it has been parsed.
+    const char *arrivedEnd_ = nullptr; // End of the bytes being parsed; valid within parse().
 };
 
 } // namespace magnoliaspan::internal
--- a/tests/unit/BrokenReplyTest.cpp
+++ b/tests/unit/BrokenReplyTest.cpp
@@ -295,6 +295,24 @@
     }
 }
 
+TEST_CASE("response: a line of its head that continues the one before makes it no answer")
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    const std::string end = "Content-Length: 6\r\n\r\nbroken";
+    checkNotDelivered({
+        {"blank, behind the signature", start + idField + signature + " X-A: b\r\n" + end},
+        {"tab, behind the signature", start + idField + signature + "\tX-A: b\r\n" + end},
+        {"blank alone", start + idField + signature + " \r\n" + end},
+        {"behind an empty field", start + idField + "X-B:\r\n X-A: b\r\n" + signature + end},
+        {"in the length", start + idField + signature + "Content-Length:\r\n 6\r\n\r\nbroken"},
+        {"behind the last field", start + idField + signature + "Content-Length: 6\r\n X-A: b\r\n\r\nbroken"},
+        {"first line", start + " X-A: b\r\n" + idField + signature + end},
+        {"in a trailer", start + idField + signature + "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nX-B: c\r\n X-A: b\r\n\r\n"},
+        {"first line of the trailers",
+         start + idField + signature + "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n X-A: b\r\n\r\n"},
+    });
+}
+
 // These never reached callers.
 TEST_CASE("response: a malformed line makes it no answer")
 {
--- a/tests/unit/ReplyParserTest.cpp
+++ b/tests/unit/ReplyParserTest.cpp
@@ -129,3 +129,31 @@
     REQUIRE(parser.isComplete());
     CHECK_FALSE(parser.isInterim());
 }
+
+TEST_CASE("reply parser: a continued line is an error in whatever pieces it arrives, white space in a body is not")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-A: b\r\n";
+    const std::vector<std::string> continued = {
+        head + " X-B: c\r\nContent-Length: 5\r\n\r\nwhole",
+        head + "Content-Length: 5\r\n\tX-B: c\r\n\r\nwhole",
+        head + "X-B:\r\n c\r\nContent-Length: 5\r\n\r\nwhole",
+        head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0;x=y\r\nX-B: c\r\n d\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n d\r\n\r\n",
+    };
+    const std::vector<std::string> sound = {
+        head + "Content-Length: 5\r\n\r\n who\t",
+        head + "Content-Length: 5\r\n\r\n\r\n a\r",
+        head + "Transfer-Encoding: chunked\r\n\r\n5\r\n\r\n a\r\r\n3\r\n\n b\r\n0\r\nX-B: c\r\n\r\n b",
+        head + "Transfer-Encoding: chunked\r\n\r\n5\r\n\r\n a\r\r\n0\r\n\r\n b",
+    };
+    for (const std::size_t step : {std::size_t{1}, std::size_t{3}, std::size_t{1'000}}) {
+        for (const std::string &bytes : continued) {
+            INFO(step << " bytes at a time: " << bytes);
+            CHECK(Parsed(bytes, step).error);
+        }
+        for (const std::string &bytes : sound) {
+            INFO(step << " bytes at a time: " << bytes);
+            CHECK_FALSE(Parsed(bytes, step).error);
+        }
+    }
+}
