--- a/src/net/ReplyParser.cpp
+++ b/src/net/ReplyParser.cpp
@@ -111,6 +111,9 @@
 
 void ReplyParser::on_field_impl(http::field, String name, String value, Error &)
 {
+    if (is_header_done()) {
+        return;
+    }
     reply_.headers.push_back({std::string(name), std::string(value)});
 }
 
--- a/tests/unit/BrokenReplyTest.cpp
+++ b/tests/unit/BrokenReplyTest.cpp
@@ -313,6 +313,44 @@
     });
 }
 
+TEST_CASE("response: trailers are no fields of its head")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n" + idField;
+    const auto chunked
+        = [](const std::string &trailers) { return "Transfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\n" + trailers + "\r\n"; };
+    SECTION("they do not reach the caller, and say nothing of the target")
+    {
+        BrokenReplyFixture fixture;
+        const std::string bytes
+            = head + signature + chunked("X-A: b\r\nX-Magnoliaspan-Not-Executed: 1\r\nServer-Leaving: 1\r\nContent-Encoding: x\r\n");
+        RawTarget &one = fixture.addTarget("s", bytes);
+        RawTarget &other = fixture.addTarget("s", bytes);
+        fixture.publish(ServiceDestination{"s"}, Repeatability::NonIdempotent);
+        const ServiceReply got = fixture.call();
+        CHECK(got.status == 200);
+        CHECK(got.body == "sound");
+        CHECK(got.headers.size() == 2);
+        CHECK(one.requests() + other.requests() == 1);
+    }
+    SECTION("a signature among them signs nothing")
+    {
+        BrokenReplyFixture fixture;
+        fixture.addTarget("s", head + chunked(signature));
+        fixture.publish(ServiceDestination{"s"}, Repeatability::NonIdempotent);
+        const ServiceReply got = fixture.call();
+        CHECK(got.status == 502);
+        CHECK(headerOf(got, "X-Magnoliaspan-Response-Signature").empty());
+    }
+    SECTION("an id among them does not make it the response to a request")
+    {
+        BrokenReplyFixture fixture;
+        RawTarget &target = fixture.addTarget("s", "HTTP/1.1 200 OK\r\n" + signature + chunked(idField));
+        target.closeAfterResponses();
+        fixture.publish(ServiceDestination{"s"}, Repeatability::NonIdempotent);
+        CHECK(fixture.call().status == 502);
+    }
+}
+
 // These never reached callers.
 TEST_CASE("response: a malformed line makes it no answer")
 {
@@ -345,3 +383,27 @@
     }
     checkNotDelivered(replies);
 }
+
+TEST_CASE("response: the store states its era in the head of a response, not in trailers")
+{
+    const SystemClock clock;
+    EventLoop loop(clock);
+    HttpTransport transport(loop);
+    const std::string body = R"({"store_revision":5,"items":[]})";
+    const RawTarget store(
+        loop,
+        fmt::format("HTTP/1.1 103 Early Hints\r\nStore-Era: 3\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "{:x}\r\n{}\r\n0\r\nStore-Era: 4\r\n\r\n",
+                    body.size(),
+                    body));
+    const auto source = platform::makeDiscovery(clock, loop, transport, store.endpoint());
+    DiscoveryReadResult result;
+    source->readAll(Freshness::Latest, [&](const DiscoveryReadResult &read) {
+        result = read;
+        loop.stop();
+    });
+    loop.run();
+    CHECK_FALSE(result.error);
+    CHECK(result.position.revision == 5);
+    CHECK(result.position.era == 0);
+}
--- a/tests/unit/ReplyParserTest.cpp
+++ b/tests/unit/ReplyParserTest.cpp
@@ -157,3 +157,16 @@
         }
     }
 }
+
+TEST_CASE("reply parser: trailers are no fields of the head")
+{
+    const std::string bytes = "HTTP/1.1 200 OK\r\nX-A: b\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX-A: c\r\nX-B: d\r\n\r\n";
+    for (const std::size_t step : {std::size_t{1}, bytes.size()}) {
+        const Parsed parsed(bytes, step);
+        CHECK_FALSE(parsed.error);
+        CHECK(parsed.reply.body == "whole");
+        REQUIRE(parsed.reply.headers.size() == 2);
+        CHECK(parsed.reply.headers[0].value == "b");
+        CHECK(parsed.reply.headers[1].value == "chunked");
+    }
+}
