--- a/src/net/ReplyParser.cpp
+++ b/src/net/ReplyParser.cpp
@@ -4,6 +4,7 @@
 #include "net/internal/ReplyParser.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <cassert>
 #include <utility>
@@ -109,11 +110,16 @@
     reply_.status = static_cast<unsigned>(status);
 }
 
-void ReplyParser::on_field_impl(http::field, String name, String value, Error &)
+void ReplyParser::on_field_impl(http::field field, String name, String value, Error &error)
 {
     if (is_header_done()) {
         return;
     }
+    // The library takes the body of another coding as it is, and of several codings removes the last.
+    if (field == http::field::transfer_encoding && !boost::beast::iequals(value, "chunked")) {
+        error = http::error::bad_transfer_encoding;
+        return;
+    }
     reply_.headers.push_back({std::string(name), std::string(value)});
 }
 
--- a/src/net/internal/ReplyParser.h
+++ b/src/net/internal/ReplyParser.h
@@ -14,7 +14,8 @@
 /// \brief Parses one response, interim or final.
 /// Does no I/O, and reserves no memory for an announced length. Beside what the HTTP library checks, it is an error if
 /// - the status is not a valid one, or 101, for which no request asks;
-/// - a line of the head or of the trailers begins with white space, so that a reader may join it to the line before.
+/// - a line of the head or of the trailers begins with white space, so that a reader may join it to the line before;
+/// - the body has another transfer coding than chunked, since no request offers to take one.
 ///
 /// Trailers are read and dropped: none of the fields that this program reads or passes on may stand there (RFC 9110, 6.5.1).
 class ReplyParser : private boost::beast::http::basic_parser<false>
--- a/tests/unit/BrokenReplyTest.cpp
+++ b/tests/unit/BrokenReplyTest.cpp
@@ -351,6 +351,20 @@
     }
 }
 
+TEST_CASE("response: a transfer coding other than chunked makes it no answer")
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n" + idField + signature;
+    checkNotDelivered({
+        {"another one", start + "Transfer-Encoding: gzip\r\nContent-Length: 6\r\n\r\nbroken"},
+        {"another one before chunked", start + "Transfer-Encoding: gzip, chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n"},
+        {"another one in a field before", start + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n"},
+        {"twice", start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n"},
+        {"twice in one field", start + "Transfer-Encoding: chunked, chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n"},
+        {"with a length", start + "Transfer-Encoding: chunked\r\nContent-Length: 6\r\n\r\n6\r\nbroken\r\n0\r\n\r\n"},
+        {"behind a length", start + "Content-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n"},
+    });
+}
+
 // These never reached callers.
 TEST_CASE("response: a malformed line makes it no answer")
 {
--- a/tests/unit/ReplyParserTest.cpp
+++ b/tests/unit/ReplyParserTest.cpp
@@ -170,3 +170,17 @@
         CHECK(parsed.reply.headers[1].value == "chunked");
     }
 }
+
+TEST_CASE("reply parser: the only transfer coding is chunked")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: ";
+    const std::string body = "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+    for (const char *coding : {"chunked", "Chunked", " chunked\t"}) {
+        INFO(coding);
+        CHECK(Parsed(head + coding + body).reply.body == "whole");
+    }
+    for (const char *coding : {"", "identity", "gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked;a=b", "xchunked"}) {
+        INFO(coding);
+        CHECK(Parsed(head + coding + body).error);
+    }
+}
