--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -407,6 +407,7 @@
     const auto running = attempts_.find(attemptId);
     assert(running != attempts_.end() && "a busy connection carries an attempt");
     const bool broken = static_cast<bool>(reply.error);
+    const bool responded = reply.bytesReceived;
     AttemptResult result;
     result.elapsed = environment_.clock.now() - *running->second.sentAt;
     classifyReply(running->second, result, std::move(reply));
@@ -414,7 +415,8 @@
     if (pooled.fresh) {
         result.connectTime = pooled.connectDuration;
     }
-    if (result.outcome == AttemptOutcome::Lost && pooled.fresh && result.elapsed <= pooled.connectDuration + rejectionSlack) {
+    // A target that rejects a connection sends nothing on it.
+    if (result.outcome == AttemptOutcome::Lost && pooled.fresh && !responded && result.elapsed <= pooled.connectDuration + rejectionSlack) {
         result.outcome = AttemptOutcome::ConnectionRejected;
         result.hasArrived = mayHaveAccepted(pooled, *running->second.sentAt);
         onConnectionRejected();
--- a/src/net/HttpTransport.cpp
+++ b/src/net/HttpTransport.cpp
@@ -63,6 +63,7 @@
             asio::post(socket_.get_executor(), [self = shared_from_this()] { self->fail(TransportError::ConnectionLost); });
             return;
         }
+        bytesReceived_ = false;
         interimReplies_ = 0;
         belongs_ = std::move(request.replyFilter);
         fillRequest(std::move(request));
@@ -186,6 +187,7 @@
             return;
         }
         buffer_.commit(count);
+        bytesReceived_ = bytesReceived_ || count > 0;
         if (!error) {
             parseArrived();
             return;
@@ -266,6 +268,7 @@
         WireReply reply;
         reply.error = error;
         reply.bytesSent = bytesSent_;
+        reply.bytesReceived = bytesReceived_;
         const auto handler = std::move(replyHandler_);
         replyHandler_ = nullptr;
         handler(std::move(reply));
@@ -318,6 +321,7 @@
     beast::flat_buffer buffer_{maxUnparsedBytes};
     bool bytesSent_ = false;                         // Whether any byte of the running exchange's request may have been sent.
     std::function<bool(const WireReply &)> belongs_; // Of the running exchange; whether a reply is to its request.
+    bool bytesReceived_ = false;                     // Whether any byte arrived during the running exchange.
     unsigned interimReplies_ = 0;                    // Of the running exchange.
     unsigned unaskedReplies_ = 0;                    // Responses to other requests than the running one, on this connection.
     bool reusable_ = true;                           // Whether another exchange may start, as far as the last response tells.
--- a/src/net/ReplyParser.cpp
+++ b/src/net/ReplyParser.cpp
@@ -46,6 +46,7 @@
 {
     body_limit(maxBodyBytes);
     reply_.bytesSent = true;
+    reply_.bytesReceived = true;
 }
 
 std::size_t ReplyParser::parse(std::string_view arrived, Error &error)
--- a/src/transport/Connection.h
+++ b/src/transport/Connection.h
@@ -23,6 +23,7 @@
     unsigned status = 0;    ///< HTTP status, zero when error is set.
     std::string body;
     std::vector<WireHeader> headers = {};
+    bool bytesReceived = false; ///< Whether any byte arrived in return, valid or not.
 };
 
 /// \brief An HTTP request to be sent on a connection.
--- a/tests/unit/BrokenReplyTest.cpp
+++ b/tests/unit/BrokenReplyTest.cpp
@@ -6,6 +6,8 @@
 #include "magnoliaspan/net.h"
 #include "platform/Adapter.h"
 #include "standins/RawTarget.h"
+#include "transport/SingleCall.h"
+#include "transport/TransportError.h"
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -398,6 +400,55 @@
     checkNotDelivered(replies);
 }
 
+// Unlike a target that rejects a connection, one that sends bytes may have read the request.
+TEST_CASE("response: a malformed or truncated one counts as a run of the request")
+{
+    for (const char *bytes : {"HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"}) {
+        INFO(bytes);
+        BrokenReplyFixture fixture;
+        std::vector<RawTarget *> targets;
+        for (int number = 0; number < 6; ++number) {
+            targets.push_back(&fixture.addTarget("s", bytes));
+            targets.back()->closeAfterResponses();
+        }
+        fixture.publish(ServiceDestination{"s"}, Repeatability::Idempotent);
+        CHECK(fixture.call().status == 502);
+        unsigned requests = 0;
+        for (const RawTarget *target : targets) {
+            requests += target->requests();
+        }
+        CHECK(requests == 2);
+    }
+}
+
+TEST_CASE("response: malformed ones of other hosts and of the store are errors")
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    const std::string end = "Content-Length: 2\r\n\r\n{}";
+    const std::vector<BrokenReply> replies = {
+        {"status 000", "HTTP/1.1 000 -\r\n" + end},
+        {"status 999", "HTTP/1.1 999 -\r\n" + end},
+        {"continued line", start + "X-A: b\r\n X-B: c\r\n" + end},
+        {"control byte in a name", start + "X-\x01: b\r\n" + end},
+        {"another transfer coding", start + "Transfer-Encoding: gzip\r\n" + end},
+    };
+    for (const BrokenReply &broken : replies) {
+        INFO(broken.name);
+        const SystemClock clock;
+        EventLoop loop(clock);
+        HttpTransport transport(loop);
+        const RawTarget remote(loop, broken.bytes);
+        std::error_code error;
+        const auto call = std::make_shared<SingleCall>(loop);
+        call->start(transport, remote.endpoint(), {"/x", "", ""}, clock.now() + std::chrono::seconds(1), [&](const WireReply &reply) {
+            error = reply.error;
+            loop.stop();
+        });
+        loop.run();
+        CHECK(error == TransportError::MalformedReply);
+    }
+}
+
 TEST_CASE("response: the store states its era in the head of a response, not in trailers")
 {
     const SystemClock clock;
