Log malformed responses with their request and target

On call, a 502 for a broken answer looked like one for a cut connection: "attempt failed cause=lost". A line "malformed response" with the request's id, the target and its address now comes before it, one an attempt, and magnoliaspan_target_responses_malformed_total counts them.

Measured: "response: a malformed one is logged ..." passes; before, no such line was written.

--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -483,6 +483,14 @@
 void Replica::classifyReply(Attempt &attempt, AttemptResult &result, WireReply reply)
 {
     const TimePoint now = environment_.clock.now();
+    if (reply.error == TransportError::MalformedReply) {
+        environment_.counters.add("magnoliaspan_target_responses_malformed_total");
+        environment_.journal.record(
+            LogCategory::Target,
+            // An attempt that nobody waits for has no request any more.
+            attempt.options.request == nullptr ? "" : attempt.options.request->id,
+            fmt::format("malformed response, expected HTTP/1.1 target={} address={}", entry_.id, entry_.address.toString()));
+    }
     if (reply.error) {
         result.outcome = reply.bytesSent ? AttemptOutcome::Lost : AttemptOutcome::NeverSent;
         environment_.contact.recordSilence(entry_.id);
--- a/tests/unit/BrokenReplyTest.cpp
+++ b/tests/unit/BrokenReplyTest.cpp
@@ -9,6 +9,7 @@
 #include "transport/SingleCall.h"
 #include "transport/TransportError.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
@@ -65,8 +66,16 @@
         settings.limits.hosts = 1;
         settings.limits.extraSendRatio = 1;
         settings.limits.extraSendSlack = 100;
-        host_ = std::make_unique<ForwardHost>(
-            ForwardHostEnvironment{clock_, loop_, transport_, discovery_, peers_, decoder_, *codec_, [](std::string_view) {}, 1}, settings);
+        host_ = std::make_unique<ForwardHost>(ForwardHostEnvironment{clock_,
+                                                                     loop_,
+                                                                     transport_,
+                                                                     discovery_,
+                                                                     peers_,
+                                                                     decoder_,
+                                                                     *codec_,
+                                                                     [this](std::string_view line) { log.emplace_back(line); },
+                                                                     1},
+                                              settings);
         host_->start();
     }
 
@@ -139,6 +148,8 @@
         loop_.cancel(limit);
     }
 
+    std::vector<std::string> log; ///< Lines of the host.
+
 private:
     SystemClock clock_;
     EventLoop loop_{clock_};
@@ -400,6 +411,19 @@
     checkNotDelivered(replies);
 }
 
+TEST_CASE("response: a malformed one is logged with its request and its target")
+{
+    BrokenReplyFixture fixture;
+    const RawTarget &target = fixture.addTarget("s", reply("HTTP/1.1 000 -"));
+    fixture.publish(ServiceDestination{"s"}, Repeatability::NonIdempotent);
+    CHECK(fixture.call().status == 502);
+    const auto isWanted = [&target](const std::string &line) {
+        return line.find("malformed response") != std::string::npos && line.find("request=q1") != std::string::npos
+               && line.find("target=i-0 address=" + target.endpoint().toString()) != std::string::npos;
+    };
+    CHECK(std::count_if(fixture.log.begin(), fixture.log.end(), isWanted) == 1);
+}
+
 // Unlike a target that rejects a connection, one that sends bytes may have read the request.
 TEST_CASE("response: a malformed or truncated one counts as a run of the request")
 {
