--- a/tests/unit/BrokenReplyTest.cpp
+++ b/tests/unit/BrokenReplyTest.cpp
@@ -267,9 +267,9 @@
 
 TEST_CASE("response: an interim response is not the answer")
 {
-    const std::string interim = "HTTP/1.1 103 Early Hints\r\n" + idField + signature + "\r\n";
     SECTION("alone")
     {
+        const std::string interim = "HTTP/1.1 103 Early Hints\r\n" + idField + signature + "\r\n";
         BrokenReplyFixture fixture;
         RawTarget &target = fixture.addTarget("s", interim);
         target.closeAfterResponses();
@@ -283,7 +283,8 @@
             INFO(first);
             BrokenReplyFixture fixture;
             const std::string head = fmt::format("HTTP/1.1 {}\r\n", first);
-            RawTarget &target = fixture.addTarget("s", head + idField + signature + "\r\n" + head + "\r\n" + soundReply());
+            const std::string interim = fmt::format("{0}{1}{2}\r\n{0}\r\n", head, idField, signature);
+            RawTarget &target = fixture.addTarget("s", interim + soundReply());
             fixture.publish(ServiceDestination{"s"}, Repeatability::NonIdempotent);
             for (int number = 0; number < 3; ++number) {
                 const ServiceReply got = fixture.call();
--- a/tests/unit/ReplyParserTest.cpp
+++ b/tests/unit/ReplyParserTest.cpp
@@ -2,11 +2,14 @@
  * Unit tests of the parser of responses, without a network.
  */
 #include "net/internal/ReplyParser.h"
+#include "Fuzzing.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
 using namespace magnoliaspan;
+using namespace magnoliaspan::testing;
 using internal::ReplyParser;
 
 namespace {
@@ -173,14 +176,47 @@
 
 TEST_CASE("reply parser: the only transfer coding is chunked")
 {
-    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: ";
-    const std::string body = "\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+    const auto parse = [](const char *coding) {
+        return Parsed(fmt::format("HTTP/1.1 200 OK\r\nTransfer-Encoding: {}\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", coding));
+    };
     for (const char *coding : {"chunked", "Chunked", " chunked\t"}) {
         INFO(coding);
-        CHECK(Parsed(head + coding + body).reply.body == "whole");
+        CHECK(parse(coding).reply.body == "whole");
     }
     for (const char *coding : {"", "identity", "gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked;a=b", "xchunked"}) {
         INFO(coding);
-        CHECK(Parsed(head + coding + body).error);
+        CHECK(parse(coding).error);
+    }
+}
+
+TEST_CASE("reply parser: mutated input is an error or a valid response", "[fuzz]")
+{
+    const std::string fields = "X-A: b\r\nX-Signature: s.1\r\n";
+    const std::vector<std::string> responses = {
+        "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 503 -\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n5;x=y\r\nwhole\r\n0\r\nX-C: d\r\n\r\n",
+    };
+    const std::string_view tokens = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"; // RFC 9110, 5.6.2
+    const auto isText = [](unsigned char byte) { return byte >= 0x20 ? byte != 0x7f : byte == '\t'; };
+    unsigned seed = 21;
+    for (const std::string &good : responses) {
+        unsigned accepted = 0;
+        fuzz(good, seed++, [&](const std::string &bytes) {
+            const Parsed parsed(bytes, 7);
+            REQUIRE(!parsed.error == !Parsed(bytes).error);
+            if (parsed.error) {
+                return;
+            }
+            ++accepted;
+            REQUIRE(parsed.reply.status >= 100);
+            REQUIRE(parsed.reply.status <= 599);
+            for (const WireHeader &header : parsed.reply.headers) {
+                REQUIRE_FALSE(header.name.empty());
+                REQUIRE(header.name.find_first_not_of(tokens) == std::string::npos);
+                REQUIRE(std::all_of(header.value.begin(), header.value.end(), isText));
+                REQUIRE(bytes.find(header.value) != std::string::npos);
+            }
+        });
+        CHECK(accepted > 0);
     }
 }
