Bound the head of a response as a whole

A target that goes on sending fields, a few at a time, is read without end: a trial passed 64 MB to the parser without an error, all of it kept in memory until the attempt ends.

Cause: the HTTP library compares its limit with the bytes of one call, and fields that are complete leave the buffer with each call. The test of bytes without end sends as fast as it can, so that one call gets more than the limit.

Change: the parser of responses counts the head over all calls, 8,192 bytes at most (the library's limit for one call).

Measured: "reply parser: the length of a head ..." failed before, 5 checks of 11 (a longer head accepted in pieces, 80 KB without an error where the test stops); passes now.

--- a/src/net/ReplyParser.cpp
+++ b/src/net/ReplyParser.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+// Of the status line and all fields together.
+constexpr std::size_t maxHeadBytes = 8'192;
+
 // Valid codes are 100 to 599 (RFC 9110, 15), of which 101 is an answer to a request for another protocol only: none is made here.
 bool isValidStatus(int status)
 {
@@ -44,6 +47,7 @@
 
 ReplyParser::ReplyParser(std::size_t maxBodyBytes)
 {
+    header_limit(maxHeadBytes);
     body_limit(maxBodyBytes);
     reply_.bytesSent = true;
     reply_.bytesReceived = true;
@@ -62,8 +66,15 @@
             error = http::error::bad_field;
             return parsed;
         }
+        const bool isInHead = !is_header_done();
         arrivedEnd_ = rest.data() + rest.size();
-        parsed += put(boost::asio::buffer(rest.data(), rest.size()), error);
+        const std::size_t count = put(boost::asio::buffer(rest.data(), rest.size()), error);
+        parsed += count;
+        // The library's limit holds for each call only, and the fields of a head may arrive in many.
+        headBytes_ += isInHead ? count : 0;
+        if (headBytes_ > maxHeadBytes) {
+            error = http::error::header_limit;
+        }
     }
     if (error == http::error::need_more) {
         error = {};
--- a/src/net/internal/ReplyParser.h
+++ b/src/net/internal/ReplyParser.h
@@ -13,6 +13,7 @@
 
 /// \brief Parses one response, interim or final.
 /// Does no I/O, and reserves no memory for an announced length. Beside what the HTTP library checks, it is an error if
+/// - the head is longer than 8,192 bytes;
 /// - the status is not a valid one, or 101, for which no request asks;
 /// - a line of the head or of the trailers begins with white space, so that a reader may join it to the line before;
 /// - the body has another transfer coding than chunked, since no request offers to take one.
@@ -61,6 +62,7 @@
     void on_finish_impl(Error &) override { }
 
     WireReply reply_;                  // As far as it has been parsed.
+    std::size_t headBytes_ = 0;        // Of the head, as far as it has been parsed.
     const char *arrivedEnd_ = nullptr; // End of the bytes being parsed; valid within parse().
 };
 
--- a/tests/unit/ReplyParserTest.cpp
+++ b/tests/unit/ReplyParserTest.cpp
@@ -189,6 +189,38 @@
     }
 }
 
+// Guards against a target that goes on sending fields, a few at a time, and so takes memory without bound.
+TEST_CASE("reply parser: the length of a head is bounded in whatever pieces it arrives")
+{
+    constexpr std::size_t maxHeadBytes = 8'192;
+    const std::string field = "X-A: " + std::string(93, 'x') + "\r\n";
+    const std::string start = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+    std::string head = start;
+    while (head.size() + field.size() + 20 < maxHeadBytes) {
+        head += field;
+    }
+    const std::string longest = head + "X-B: " + std::string(maxHeadBytes - head.size() - 9, 'x') + "\r\n\r\n";
+    REQUIRE(longest.size() == maxHeadBytes);
+    const std::string tooLong = head + "X-B: " + std::string(maxHeadBytes - head.size() - 8, 'x') + "\r\n\r\n";
+    for (const std::size_t step : {std::size_t{1}, std::size_t{101}, std::size_t{1'000}, longest.size() + 1}) {
+        INFO(step << " bytes at a time");
+        CHECK_FALSE(Parsed(longest, step).error);
+        CHECK(Parsed(tooLong, step).error);
+    }
+    ReplyParser parser(maxBodyBytes);
+    ReplyParser::Error error;
+    std::string unparsed = start;
+    std::size_t sent = unparsed.size();
+    while (!error && sent < 10 * maxHeadBytes) {
+        // Each piece ends within a field, so that the one before is complete.
+        unparsed += field + "X";
+        sent += field.size() + 1;
+        unparsed.erase(0, parser.parse(unparsed, error));
+    }
+    CHECK(error);
+    CHECK(sent < 2 * maxHeadBytes);
+}
+
 TEST_CASE("reply parser: mutated input is an error or a valid response", "[fuzz]")
 {
     const std::string fields = "X-A: b\r\nX-Signature: s.1\r\n";
