--- a/src/net/HttpTransport.cpp
+++ b/src/net/HttpTransport.cpp
@@ -30,7 +30,7 @@
 constexpr unsigned httpVersion = 11;
 // A target in trouble may send a response twice; one that goes on is not waited for.
 constexpr unsigned maxUnaskedReplies = 3;
-// Likewise a target that goes on with interim responses, each of which a request may have several of.
+// A request may have several interim responses; a target that goes on with them is not waited for.
 constexpr unsigned maxInterimReplies = 16;
 constexpr const char *authorizationField = "X-Peer-Authorization";
 
--- a/src/net/ReplyParser.cpp
+++ b/src/net/ReplyParser.cpp
@@ -113,7 +113,7 @@
     return std::move(reply_);
 }
 
-void ReplyParser::on_response_impl(int status, String, int, Error &error)
+void ReplyParser::on_response_impl(int status, StringView, int, Error &error)
 {
     if (!isValidStatus(status)) {
         error = http::error::bad_status;
@@ -122,7 +122,7 @@
     reply_.status = static_cast<unsigned>(status);
 }
 
-void ReplyParser::on_field_impl(http::field field, String name, String value, Error &error)
+void ReplyParser::on_field_impl(http::field field, StringView name, StringView value, Error &error)
 {
     if (is_header_done()) {
         return;
@@ -135,15 +135,13 @@
     reply_.headers.push_back({std::string(name), std::string(value)});
 }
 
-void ReplyParser::on_body_init_impl(const boost::optional<std::uint64_t> &, Error &) { }
-
-std::size_t ReplyParser::on_body_impl(String bytes, Error &)
+std::size_t ReplyParser::on_body_impl(StringView bytes, Error &)
 {
     reply_.body.append(bytes.data(), bytes.size());
     return bytes.size();
 }
 
-void ReplyParser::on_chunk_header_impl(std::uint64_t size, String extensions, Error &error)
+void ReplyParser::on_chunk_header_impl(std::uint64_t size, StringView extensions, Error &error)
 {
     // All trailers have arrived when the library parses the line of the last chunk, whose end they follow.
     const char *lineEnd = extensions.data() + extensions.size();
@@ -152,7 +150,7 @@
     }
 }
 
-std::size_t ReplyParser::on_chunk_body_impl(std::uint64_t, String bytes, Error &)
+std::size_t ReplyParser::on_chunk_body_impl(std::uint64_t, StringView bytes, Error &)
 {
     reply_.body.append(bytes.data(), bytes.size());
     return bytes.size();
--- a/src/net/internal/ReplyParser.h
+++ b/src/net/internal/ReplyParser.h
@@ -18,7 +18,8 @@
 /// - a line of the head or of the trailers begins with white space, so that a reader may join it to the line before;
 /// - the body has another transfer coding than chunked, since no request offers to take one.
 ///
-/// Trailers are read and dropped: none of the fields that this program reads or passes on may stand there (RFC 9110, 6.5.1).
+/// Trailers are checked and dropped: no field that this program reads may stand there (RFC 9110, 6.5.1), and the response is
+/// passed on with a length instead of chunks, so without trailers.
 class ReplyParser : private boost::beast::http::basic_parser<false>
 {
 public:
@@ -49,16 +50,16 @@
     WireReply takeReply();
 
 private:
-    using String = boost::beast::string_view;
+    using StringView = boost::beast::string_view;
 
-    void on_request_impl(boost::beast::http::verb, String, String, int, Error &) override { }
-    void on_response_impl(int status, String reason, int version, Error &error) override;
-    void on_field_impl(boost::beast::http::field field, String name, String value, Error &error) override;
+    void on_request_impl(boost::beast::http::verb, StringView, StringView, int, Error &) override { }
+    void on_response_impl(int status, StringView reason, int version, Error &error) override;
+    void on_field_impl(boost::beast::http::field field, StringView name, StringView value, Error &error) override;
     void on_header_impl(Error &) override { }
-    void on_body_init_impl(const boost::optional<std::uint64_t> &length, Error &error) override;
-    std::size_t on_body_impl(String bytes, Error &error) override;
-    void on_chunk_header_impl(std::uint64_t size, String extensions, Error &error) override;
-    std::size_t on_chunk_body_impl(std::uint64_t left, String bytes, Error &error) override;
+    void on_body_init_impl(const boost::optional<std::uint64_t> &, Error &) override { }
+    std::size_t on_body_impl(StringView bytes, Error &error) override;
+    void on_chunk_header_impl(std::uint64_t size, StringView extensions, Error &error) override;
+    std::size_t on_chunk_body_impl(std::uint64_t left, StringView bytes, Error &error) override;
     void on_finish_impl(Error &) override { }
 
     WireReply reply_;                  // As far as it has been parsed.
