--- a/tests/standins/StoreModel.cpp
+++ b/tests/standins/StoreModel.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace magnoliaspan::testing {
 
@@ -209,7 +210,10 @@
 
 void StoreModel::dropHistory()
 {
-    historyStart_ = revision_;
+    historyStart_ = ++revision_;
+    for (const auto &[number, watch] : std::exchange(watches_, {})) {
+        watch.handler({410, "application/json", "{}", false});
+    }
 }
 
 void StoreModel::notifyWatches()
--- a/tests/standins/StoreModel.h
+++ b/tests/standins/StoreModel.h
@@ -34,7 +34,7 @@
 
     void remove(const std::string &key);
 
-    /// Refuses watches from revisions before the present one with status 410.
+    /// Refuses watches from all revisions so far, also those that wait, with status 410.
     void dropHistory();
 
     std::size_t pageItems = 500; ///< Elements of a page of a list.
--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -313,3 +313,29 @@
         fixture.checkServing();
     }
 }
+
+// Guards against a store, or something between it and the host, that does not understand where the next page is to begin.
+TEST_CASE("store: a list that does not move on is an error with backoff, and changes nothing")
+{
+    OddEntryFixture fixture;
+    fixture.restartHosts();
+    fixture.run(seconds(3));
+    fixture.store.pageItems = 2;
+    fixture.store.repeatsPages = true;
+    fixture.store.dropHistory();
+    fixture.run(seconds(2));
+    for (const auto &host : fixture.hosts) {
+        CHECK(host->hasLogged("discovery lost"));
+    }
+    const unsigned before = fixture.store.calls;
+    fixture.run(seconds(10));
+    // Two hosts, each with two pages every 0.75 s, the least backoff after some failures.
+    CHECK(fixture.store.calls - before <= 2 * 2 * 14);
+    fixture.checkServing();
+    fixture.store.repeatsPages = false;
+    fixture.store.put("op/config", configurationOf(2));
+    fixture.run(seconds(3));
+    for (const auto &host : fixture.hosts) {
+        CHECK(fixture.versionOn(*host) == "2");
+    }
+}
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -264,6 +264,24 @@
     CHECK(fixture.readAll().error);
 }
 
+TEST_CASE("platform: a full read fails if a page begins at or before the key after which it was to begin")
+{
+    const auto item = [](const std::string &key) { return fmt::format(R"({{"key":"{}","value":"e30=","rev":3}})", key); };
+    const auto page
+        = [](const std::string &items) { return fmt::format(R"({{"items":[{}],"truncated":true,"store_revision":9}})", items); };
+    for (const char *next : {"servers/b", "servers/a", "op/config"}) {
+        INFO(next);
+        StoreFixture fixture;
+        fixture.store.answers = {page(item("servers/b")), page(item(next) + "," + item("servers/z")), R"({"items":[],"store_revision":9})"};
+        CHECK(fixture.readAll().error);
+        CHECK(fixture.store.paths.size() == 2);
+    }
+    StoreFixture fixture;
+    fixture.store.answers = {page(item("servers/b")), page(item("servers/ba")), R"({"items":[],"store_revision":9})"};
+    CHECK_FALSE(fixture.readAll().error);
+    CHECK(fixture.store.paths.size() == 3);
+}
+
 // Guards against the cost of decoding each of many large versions, which held up callers while a host caught up.
 TEST_CASE("platform: of several events for a key in one response only the last is decoded")
 {
