--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -265,6 +265,18 @@
                                            "a\"<>\\^`{|}[]",
                                            std::string(192, 'a')};
 
+// Elements of a list that have no key.
+const std::vector<std::string> keylessElements = {"7",
+                                                  "null",
+                                                  "\"servers/i-15\"",
+                                                  "[]",
+                                                  "{}",
+                                                  R"({"value":"e30=","rev":$REV})",
+                                                  R"({"key":"","value":"e30=","rev":$REV})",
+                                                  R"({"key":7,"value":"e30=","rev":$REV})",
+                                                  R"({"key":null,"value":"e30=","rev":$REV})",
+                                                  R"({"key":["servers/i-15"],"value":"e30=","rev":$REV})"};
+
 } // namespace
 
 // Guards against a host that asks for the same page again and again, or for none that the store accepts, because a name in the
@@ -339,3 +351,43 @@
         CHECK(fixture.versionOn(*host) == "2");
     }
 }
+
+// Guards against a page that was taken for the last one because its last element has no key.
+TEST_CASE("store: an element without a key at the end of a page hides none of those that follow")
+{
+    for (const std::string &element : keylessElements) {
+        INFO(element);
+        OddEntryFixture fixture;
+        fixture.store.remove("servers/i-1");
+        fixture.store.putElement("op/x", element);
+        fixture.store.pageItems = 2;
+        fixture.restartHosts();
+        fixture.run(seconds(8));
+        CHECK(fixture.store.calls < 2 * (4 + 5));
+        fixture.checkServing();
+    }
+}
+
+// Guards against targets that are removed because a list ends before them.
+TEST_CASE("store: a list that cannot be continued is an error, and removes nobody")
+{
+    for (const std::string &element : keylessElements) {
+        INFO(element);
+        OddEntryFixture fixture;
+        fixture.restartHosts();
+        fixture.run(seconds(3));
+        fixture.store.pageItems = 1;
+        fixture.store.putElement("op/x", element);
+        fixture.store.dropHistory();
+        fixture.run(seconds(4));
+        const unsigned before = fixture.store.calls;
+        fixture.run(seconds(10));
+        CHECK(fixture.store.calls - before <= 2 * 2 * 14);
+        for (const auto &host : fixture.hosts) {
+            CHECK(host->hasLogged("discovery lost"));
+            CHECK_FALSE(host->hasLogged("entry removed"));
+            CHECK_FALSE(host->hasLogged("entry lapsed"));
+        }
+        fixture.checkServing();
+    }
+}
