--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -114,8 +114,9 @@
 void DiscoveryController::startNextCall()
 {
     if (needsFullRead_) {
-        // The watch that follows brings a stale read up to date, unless the history was just found to be lost.
-        startFullRead(hasRead_ ? Freshness::Latest : Freshness::StaleAllowed);
+        // The watch that follows brings a stale read up to date, unless the history was just found to be lost or the read broke
+        // off.
+        startFullRead(hasRead_ || hasReadPart_ ? Freshness::Latest : Freshness::StaleAllowed);
     } else {
         startWatch();
     }
@@ -133,6 +134,7 @@
 void DiscoveryController::onFullRead(Freshness freshness, const DiscoveryReadResult &result)
 {
     if (result.error) {
+        applyPart(result);
         onCallFailed(result.error);
         return;
     }
@@ -155,6 +157,24 @@
     scheduleNextCall(firstWatchDelay);
 }
 
+// A host that has only started serves by what it knows. Its position stays, so that it goes on reading.
+void DiscoveryController::applyPart(const DiscoveryReadResult &result)
+{
+    if (!result.brokenOff) {
+        return;
+    }
+    if (failures_ == 0) {
+        journal_.record(LogCategory::Config,
+                        "",
+                        fmt::format("full read broke off, its part applied era={} revision={} changes={}",
+                                    result.position.era,
+                                    result.position.revision,
+                                    result.changes.size()));
+    }
+    hasReadPart_ = true;
+    registry_.apply(result, true);
+}
+
 void DiscoveryController::apply(const DiscoveryReadResult &result)
 {
     if (hasRead_ && result.position.era != position_.era) {
--- a/src/discovery/DiscoveryController.h
+++ b/src/discovery/DiscoveryController.h
@@ -56,6 +56,7 @@
     void startSettling();
     void onHistoryLost(std::string_view reason);
     void apply(const DiscoveryReadResult &result);
+    void applyPart(const DiscoveryReadResult &result);
     /// \param isNewEra whether this is the first notice of the era of \p position.
     void rereadIfBehind(const StatePosition &position, bool isNewEra);
     void startNextCall();
@@ -74,6 +75,7 @@
     std::int64_t newestPeerEra_ = 0; // Newest era that another host has named.
     bool needsFullRead_ = true;      // Whether the next call must be a full read.
     bool hasRead_ = false;
+    bool hasReadPart_ = false;                 // Whether a full read broke off.
     bool isWaitSkipped_ = false;               // Whether the next watch must not wait for changes.
     unsigned lostHistories_ = 0;               // Consecutive watches that were answered by a lost history.
     unsigned failures_ = 0;                    // Consecutive failed calls.
--- a/src/discovery/Registry.cpp
+++ b/src/discovery/Registry.cpp
@@ -22,14 +22,15 @@
 
 void Registry::apply(const DiscoveryReadResult &result, bool keepLapsed)
 {
+    const bool isList = result.complete || result.brokenOff;
     isSettling_ = isSettling_ || (era_ && *era_ != result.position.era);
     era_ = result.position.era;
     for (const DiscoveryChange &change : result.changes) {
         std::visit(Visitor{
                        [this](const TablePublished &published) { applyTable(published.table); },
-                       [&](const TargetPublished &published) { applyTarget(published.entry, result.complete); },
+                       [&](const TargetPublished &published) { applyTarget(published.entry, isList); },
                        [this, keepLapsed](const TargetRemoved &removed) { removeTarget(removed.id, keepLapsed); },
-                       [&](const ZoneEvacuation &zone) { applyEvacuation(zone, result.complete); },
+                       [&](const ZoneEvacuation &zone) { applyEvacuation(zone, isList); },
                        [this](const DecodeFailure &failure) {
                            journal_.record(
                                LogCategory::Config,
--- a/src/discovery/Registry.h
+++ b/src/discovery/Registry.h
@@ -32,7 +32,8 @@
 
     void setListener(Listener listener);
 
-    /// \brief Applies the changes of \p result; if that is complete, also removes the entries that it does not list.
+    /// \brief Applies the changes of \p result; if that is complete, also removes the entries that it does not list. A read
+    /// that broke off is a list as well, but removes nothing.
     ///
     /// The first complete result of another era is an older copy of the published state. What is known to be newer stays:
     /// entries of targets that have written since, departures, and, until settle(), evacuations and their ends, as these
--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -176,14 +176,18 @@
     /// Kills all hosts and starts them again.
     void restartHosts()
     {
-        for (auto &host : hosts) {
-            host->process.freeze(true);
-            stopped_.push_back(std::move(host));
-        }
-        hosts.clear();
-        for (unsigned number = 0; number < 2; ++number) {
-            hosts.push_back(std::make_unique<HostProcess>(time, network, datagrams, number));
+        hosts.resize(2);
+        restartHost(0);
+        restartHost(1);
+    }
+
+    void restartHost(unsigned number)
+    {
+        if (hosts[number]) {
+            hosts[number]->process.freeze(true);
+            stopped_.push_back(std::move(hosts[number]));
         }
+        hosts[number] = std::make_unique<HostProcess>(time, network, datagrams, number);
     }
 
     void run(Duration duration)
@@ -391,3 +395,49 @@
         fixture.checkServing();
     }
 }
+
+TEST_CASE("store: a host that starts serves by the part of a list that it could read, and goes on reading")
+{
+    for (const std::string &element : keylessElements) {
+        INFO(element);
+        OddEntryFixture fixture;
+        fixture.store.pageItems = 1;
+        fixture.store.putElement("servers/i-15", element);
+        fixture.restartHosts();
+        fixture.run(seconds(8));
+        fixture.checkServing();
+        fixture.store.put("op/config", configurationOf(2));
+        fixture.run(seconds(3));
+        for (const auto &host : fixture.hosts) {
+            CHECK(fixture.versionOn(*host) == "2");
+            CHECK_FALSE(host->hasLogged("target=i-2"));
+        }
+        fixture.store.remove("servers/i-15");
+        fixture.run(seconds(3));
+        for (const auto &host : fixture.hosts) {
+            CHECK(host->hasLogged("target=i-2"));
+            CHECK(host->hasLogged("discovery regained"));
+        }
+    }
+}
+
+// Guards against a part of a list that is passed on as the whole.
+TEST_CASE("store: a host that cannot read a list to its end reads it from another host")
+{
+    OddEntryFixture fixture;
+    fixture.restartHosts();
+    fixture.run(seconds(3));
+    fixture.store.pageItems = 1;
+    fixture.store.putElement("servers/i-15", "7");
+    fixture.restartHost(1);
+    fixture.run(seconds(8));
+    CHECK(fixture.hosts[1]->hasLogged("target entry applied target=i-2"));
+    fixture.restartHost(0);
+    fixture.run(seconds(8));
+    for (const auto &host : fixture.hosts) {
+        CHECK(host->hasLogged("target entry applied target=i-2"));
+        CHECK_FALSE(host->hasLogged("entry removed"));
+        CHECK_FALSE(host->hasLogged("entry lapsed"));
+    }
+    fixture.checkServing();
+}
--- a/tests/unit/RegistryTest.cpp
+++ b/tests/unit/RegistryTest.cpp
@@ -98,6 +98,22 @@
     }
 }
 
+TEST_CASE("registry: a list that broke off removes nothing, and like a whole one does not bring back a target that has left")
+{
+    RegistryFixture fixture({TargetPublished{entryOf("t1", 5)}, TargetPublished{entryOf("t2", 5)}, ZoneEvacuation{"z", true}});
+    fixture.change(TargetRemoved{"t1"});
+    DiscoveryReadResult part;
+    part.error = std::make_error_code(std::errc::io_error);
+    part.brokenOff = true;
+    part.position = {2, 10};
+    part.changes = {TargetPublished{entryOf("t1", 5)}, TargetPublished{entryOf("t3", 1)}};
+    fixture.registry.apply(part, true);
+    CHECK_FALSE(fixture.isReady("t1"));
+    CHECK(fixture.isReady("t2"));
+    CHECK(fixture.isReady("t3"));
+    CHECK(fixture.registry.isEvacuated("z"));
+}
+
 TEST_CASE("registry: a target that left and is listed again in the same era is used again")
 {
     RegistryFixture fixture({TargetPublished{entryOf("t1", 5)}});
