--- a/tests/standins/StoreModel.cpp
+++ b/tests/standins/StoreModel.cpp
@@ -72,6 +72,15 @@
     return parameters;
 }
 
+bool isUtf8(const std::string &text)
+{
+    try {
+        return !nlohmann::json(text).dump().empty();
+    } catch (const nlohmann::json::type_error &) {
+        return false;
+    }
+}
+
 std::int64_t numberOf(const std::map<std::string, std::string> &parameters, const std::string &name)
 {
     const auto found = parameters.find(name);
@@ -104,7 +113,8 @@
     const auto question = std::min(target.size(), target.find('?'));
     const std::string_view path = target.substr(0, question);
     const auto parameters = parseQuery(target.substr(std::min(target.size(), question + 1)));
-    if (!parameters || (path != listPath && path != watchPath)) {
+    const bool isRefused = refusesRawBytes && parameters && !isUtf8(textOf(*parameters, "after"));
+    if (!parameters || isRefused || (path != listPath && path != watchPath)) {
         ++malformedCalls;
         handler({400, "application/json", "{}", true});
         return {};
--- a/tests/standins/StoreModel.h
+++ b/tests/standins/StoreModel.h
@@ -37,9 +37,10 @@
     /// Refuses watches from all revisions so far, also those that wait, with status 410.
     void dropHistory();
 
-    std::size_t pageItems = 500; ///< Elements of a page of a list.
-    bool repeatsPages = false;   ///< Whether each page of a list is the first one.
-    bool repeatsEvents = false;  ///< Whether each watch returns the last event, and the revision that it was asked for.
+    std::size_t pageItems = 500;  ///< Elements of a page of a list.
+    bool repeatsPages = false;    ///< Whether each page of a list is the first one.
+    bool repeatsEvents = false;   ///< Whether each watch returns the last event, and the revision that it was asked for.
+    bool refusesRawBytes = false; ///< Whether parameters that are not UTF-8 are malformed.
     unsigned calls = 0;
     unsigned malformedCalls = 0;
 
--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -281,6 +281,27 @@
                                                   R"({"key":null,"value":"e30=","rev":$REV})",
                                                   R"({"key":["servers/i-15"],"value":"e30=","rev":$REV})"};
 
+/// An element that cannot be parsed, with the key under which the store has it.
+struct MalformedElement {
+    std::string key;
+    std::string text;
+};
+
+const std::string deeplyNested = std::string(60'000, '[') + std::string(60'000, ']');
+
+const std::vector<MalformedElement> malformedElements = {
+    {"op/\xed\xa0\x80", R"({"key":"op/\ud800","value":"e30=","rev":$REV})"},
+    {"op/\xed\xb2\x80x", R"({"rev":$REV,"value":"e30=","key":"op/\udc80x"})"},
+    {"op/\xff", "{\"key\":\"op/\xff\",\"value\":\"e30=\",\"rev\":$REV}"},
+    {"op/\xc3", "{\"key\":\"op/\xc3\",\"value\":\"e30=\",\"rev\":$REV}"},
+    {"op/\n", "{\"key\":\"op/\n\",\"value\":\"e30=\",\"rev\":$REV}"},
+    {"op/v", "{\"key\":\"op/v\",\"value\":\"\xff\",\"rev\":$REV}"},
+    {"op/w", "{\"key\":\"op/w\",\"value\":" + deeplyNested + ",\"rev\":$REV}"},
+    {"op/x", R"({"key":"op/x","value":"e30=","rev":1e999})"},
+    {"op/y", R"({"key":"op/y","value":nothing,"rev":$REV})"},
+    {"op/z", R"({"key":"op/z","value":"\ud800]},{[","rev":$REV})"},
+};
+
 } // namespace
 
 // Guards against a host that asks for the same page again and again, or for none that the store accepts, because a name in the
@@ -441,3 +462,52 @@
     }
     fixture.checkServing();
 }
+
+// Guards against a response that is refused as a whole for one of its elements.
+TEST_CASE("store: an element of a list that cannot be parsed hides no other one")
+{
+    for (const std::size_t pageItems : {1, 2, 500}) {
+        for (const MalformedElement &element : malformedElements) {
+            INFO(pageItems << " " << element.text.substr(0, 80));
+            OddEntryFixture fixture;
+            fixture.store.putElement(element.key, element.text);
+            fixture.store.pageItems = pageItems;
+            fixture.store.refusesRawBytes = pageItems > 1;
+            fixture.restartHosts();
+            fixture.run(seconds(8));
+            CHECK(fixture.store.calls < 2 * (4 + 5));
+            CHECK(fixture.store.malformedCalls == 0);
+            for (const auto &host : fixture.hosts) {
+                CHECK(host->hasLogged("target=i-2"));
+                CHECK_FALSE(host->hasLogged("discovery lost"));
+            }
+            fixture.checkServing();
+        }
+    }
+}
+
+TEST_CASE("store: an event that cannot be parsed or names nothing hides no other one, nor a later one")
+{
+    std::vector<MalformedElement> elements = malformedElements;
+    for (const std::string &element : keylessElements) {
+        elements.push_back({"op/x", element});
+    }
+    for (const MalformedElement &element : elements) {
+        INFO(element.text.substr(0, 80));
+        OddEntryFixture fixture;
+        fixture.restartHosts();
+        fixture.run(seconds(3));
+        fixture.store.putElement(element.key, element.text);
+        fixture.store.put("op/config", configurationOf(2));
+        fixture.run(seconds(1));
+        fixture.store.put("op/config", configurationOf(3));
+        fixture.addTarget("i-3");
+        fixture.run(seconds(2));
+        for (const auto &host : fixture.hosts) {
+            CHECK(fixture.versionOn(*host) == "3");
+            CHECK(host->hasLogged("target=i-3"));
+            CHECK_FALSE(host->hasLogged("discovery lost"));
+        }
+        fixture.checkServing();
+    }
+}
