--- a/src/core/Text.cpp
+++ b/src/core/Text.cpp
@@ -3,6 +3,7 @@
  */
 #include "core/Text.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace magnoliaspan {
@@ -14,6 +15,19 @@
     return (character >= '0' && character <= '9') || (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
 }
 
+bool isControl(char character)
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char del = 0x7F;
+    const auto byte = static_cast<unsigned char>(character);
+    return byte < firstPrintable || byte == del;
+}
+
+bool isBlank(char character)
+{
+    return character == ' ' || character == '\t';
+}
+
 } // namespace
 
 std::string encodeQueryValue(std::string_view data)
@@ -30,4 +44,12 @@
     return text;
 }
 
+bool isFieldValue(std::string_view text)
+{
+    if (!text.empty() && (isBlank(text.front()) || isBlank(text.back()))) {
+        return false;
+    }
+    return std::none_of(text.begin(), text.end(), [](char character) { return isControl(character) && character != '\t'; });
+}
+
 } // namespace magnoliaspan
--- a/src/core/Text.h
+++ b/src/core/Text.h
@@ -25,4 +25,8 @@
 /// and slashes are percent-encoded.
 std::string encodeQueryValue(std::string_view data);
 
+/// \returns whether \p text arrives as it is when it is sent as the value of a header field (RFC 9110, 5.5): it holds no control
+/// characters but tabs, and neither begins nor ends with white space.
+bool isFieldValue(std::string_view text);
+
 } // namespace magnoliaspan
--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -511,3 +511,55 @@
         fixture.checkServing();
     }
 }
+
+// Guards against fields and requests that a target gets and nobody sent, and against an identifier that arrives as another one.
+TEST_CASE("store: a target whose identifier cannot be sent in a header field gets no requests")
+{
+    const std::vector<std::string> ids = {"a\r\nX-Injected: 1",
+                                          "a\r\n\r\nPOST /evil HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+                                          "a\nX-Injected: 1",
+                                          "a\rb",
+                                          std::string("a\0b", 3),
+                                          "a\x01",
+                                          "a\x1b[2J",
+                                          "a\x7f",
+                                          " a",
+                                          "a ",
+                                          "\ta",
+                                          "a\t",
+                                          " ",
+                                          ""};
+    for (const std::string &id : ids) {
+        INFO(id);
+        OddEntryFixture fixture;
+        fixture.restartHosts();
+        fixture.run(seconds(3));
+        const IdentifiedTarget &byWatch = fixture.addTarget(id);
+        fixture.run(seconds(2));
+        fixture.checkServing();
+        CHECK(byWatch.requests.empty());
+        fixture.restartHosts();
+        fixture.run(seconds(3));
+        fixture.checkServing();
+        CHECK(byWatch.requests.empty());
+    }
+}
+
+TEST_CASE("store: a target gets its identifier as it stands in the store, whatever characters a field can hold")
+{
+    for (const std::string id :
+         {"a&b", "a+b", "a#b", "a%41b", "a%", "a b", "a\tb", "a=b?c/d;e,f:g@h", "a\"b\\c", "a\xc3\xa9", "\xf0\x9f\x98\x80"}) {
+        INFO(id);
+        OddEntryFixture fixture;
+        fixture.store.remove("servers/i-1");
+        fixture.store.remove("servers/i-2");
+        const IdentifiedTarget &target = fixture.addTarget(id);
+        fixture.restartHosts();
+        fixture.run(seconds(3));
+        fixture.checkServing();
+        REQUIRE_FALSE(target.requests.empty());
+        for (const ServiceRequest &request : target.requests) {
+            CHECK(headerOf(request.headers, "X-Magnoliaspan-Target-Instance") == id);
+        }
+    }
+}
