--- a/src/core/Text.cpp
+++ b/src/core/Text.cpp
@@ -44,6 +44,19 @@
     return text;
 }
 
+bool isRequestTarget(std::string_view text)
+{
+    return !text.empty() && std::none_of(text.begin(), text.end(), [](char character) { return isControl(character) || character == ' '; });
+}
+
+bool isToken(std::string_view text)
+{
+    constexpr std::string_view otherCharacters = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [otherCharacters](char character) {
+        return isAlphanumeric(character) || otherCharacters.find(character) != std::string_view::npos;
+    });
+}
+
 bool isFieldValue(std::string_view text)
 {
     if (!text.empty() && (isBlank(text.front()) || isBlank(text.back()))) {
--- a/src/core/Text.h
+++ b/src/core/Text.h
@@ -25,6 +25,13 @@
 /// and slashes are percent-encoded.
 std::string encodeQueryValue(std::string_view data);
 
+/// \returns whether \p text can be the target in the first line of a request: it is not empty and holds neither blanks nor control
+/// characters.
+bool isRequestTarget(std::string_view text);
+
+/// \returns whether \p text can be the name of a header field, or a method: a token (RFC 9110, 5.6.2).
+bool isToken(std::string_view text);
+
 /// \returns whether \p text arrives as it is when it is sent as the value of a header field (RFC 9110, 5.5): it holds no control
 /// characters but tabs, and neither begins nor ends with white space.
 bool isFieldValue(std::string_view text);
--- a/src/net/HttpTransport.cpp
+++ b/src/net/HttpTransport.cpp
@@ -3,9 +3,11 @@
  */
 #include "net/HttpTransport.h"
 
+#include "core/Text.h"
 #include "net/internal/ReplyParser.h"
 #include "transport/TransportError.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -37,6 +39,15 @@
 /// Whether an idle connection can carry another exchange.
 enum class IdleState { Usable, Unusable };
 
+// The HTTP library writes what it is given.
+bool isSendable(const WireRequest &request)
+{
+    return isRequestTarget(request.path) && (request.method.empty() || isToken(request.method)) && isFieldValue(request.authorization)
+           && std::all_of(request.headers.begin(), request.headers.end(), [](const WireHeader &header) {
+                  return isToken(header.name) && isFieldValue(header.value);
+              });
+}
+
 /// State of one connection; pending handlers keep it alive.
 class ClientSession : public std::enable_shared_from_this<ClientSession>
 {
@@ -64,6 +75,10 @@
             return;
         }
         bytesReceived_ = false;
+        if (!isSendable(request)) {
+            asio::post(socket_.get_executor(), [self = shared_from_this()] { self->fail(TransportError::UnsendableRequest); });
+            return;
+        }
         interimReplies_ = 0;
         belongs_ = std::move(request.replyFilter);
         fillRequest(std::move(request));
--- a/src/transport/TransportError.cpp
+++ b/src/transport/TransportError.cpp
@@ -28,6 +28,8 @@
             return "malformed_reply";
         case TransportError::Silent:
             return "silent";
+        case TransportError::UnsendableRequest:
+            return "unsendable_request";
         }
         return "unknown";
     }
--- a/src/transport/TransportError.h
+++ b/src/transport/TransportError.h
@@ -13,6 +13,7 @@
     ConnectionLost,    ///< The connection ended before a complete response arrived.
     MalformedReply,    ///< The response was not valid HTTP or exceeded its size limits.
     Silent,            ///< No byte arrived within the progress deadline.
+    UnsendableRequest, ///< The target or a field of the request would be read as something else; nothing was sent.
 };
 
 /// \returns the error category of TransportError.
--- a/tests/unit/BadInputTest.cpp
+++ b/tests/unit/BadInputTest.cpp
@@ -1,10 +1,14 @@
 /*
  * Unit tests: malformed requests of callers are refused with the verdict not_run and affect no other request.
  */
+#include "core/Text.h"
 #include "unit/SocketFixture.h"
 
+#include <arpa/inet.h>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace magnoliaspan;
 using namespace magnoliaspan::testing;
@@ -53,8 +57,79 @@
     };
 }
 
+/// Accepts all requests.
+class RecordingService : public Service
+{
+public:
+    CancelFunction handle(ServiceRequest request, ReplyHandler handler) override
+    {
+        requests.push_back(std::move(request));
+        handler({});
+        return {};
+    }
+
+    std::vector<ServiceRequest> requests;
+};
+
+/// Sends each of \p texts on a connection of its own to \p port of the loopback interface, and runs \p loop until they have arrived.
+void sendEach(EventLoop &loop, const Clock &clock, std::uint16_t port, const std::vector<std::string> &texts)
+{
+    std::vector<int> connections;
+    for (const std::string &text : texts) {
+        connections.push_back(::socket(AF_INET, SOCK_STREAM, 0));
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const auto *where = reinterpret_cast<const sockaddr *>(&address); // NOLINT: the interface's cast
+        REQUIRE(::connect(connections.back(), where, sizeof(address)) == 0);
+        REQUIRE(::send(connections.back(), text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+    }
+    loop.callAt(clock.now() + std::chrono::milliseconds(200), [&loop] { loop.stop(); });
+    loop.run();
+    for (const int connection : connections) {
+        ::close(connection);
+    }
+}
+
 } // namespace
 
+// Guards against a request that is accepted from a caller and that no connection to a target can carry.
+TEST_CASE("caller port: every request that is accepted can be forwarded as it is", "[callers]")
+{
+    constexpr std::uint16_t port = 21'090;
+    constexpr int batch = 64;
+    const SystemClock clock;
+    EventLoop loop(clock);
+    RecordingService service;
+    HttpServer server(loop, service, {});
+    REQUIRE_FALSE(server.listen({"127.0.0.1", port}));
+    for (int first = 0; first < 256; first += batch) {
+        std::vector<std::string> texts;
+        for (int byte = first; byte < first + batch; ++byte) {
+            const char odd = static_cast<char>(byte);
+            texts.push_back(fmt::format("GET /a{}b HTTP/1.1\r\nHost: h\r\n\r\n", odd));
+            texts.push_back(fmt::format("G{}T / HTTP/1.1\r\nHost: h\r\n\r\n", odd));
+            texts.push_back(fmt::format("GET / HTTP/1.1\r\nHost: h\r\nX{}A: a\r\n\r\n", odd));
+            texts.push_back(fmt::format("GET / HTTP/1.1\r\nHost: h\r\nX-A: {0}a{0}b{0}\r\n\r\n", odd));
+            texts.push_back(fmt::format("GET / HTTP/1.1\r\nHost: h\r\nX-A: a\r\n {0}b{0}\r\n\r\n", odd));
+        }
+        sendEach(loop, clock, port, texts);
+    }
+    // Letters and digits at least.
+    CHECK(service.requests.size() > 62 * 5);
+    for (const ServiceRequest &request : service.requests) {
+        INFO(request.method << " " << request.target);
+        CHECK(isToken(request.method));
+        CHECK(isRequestTarget(request.target));
+        for (const WireHeader &header : request.headers) {
+            INFO(header.name << ": " << header.value);
+            CHECK(isToken(header.name));
+            CHECK(isFieldValue(header.value));
+        }
+    }
+}
+
 TEST_CASE("caller port: a malformed request is refused as not run and affects no other request", "[callers]")
 {
     SocketFixture fixture(21'020);
--- a/tests/unit/HttpTransportTest.cpp
+++ b/tests/unit/HttpTransportTest.cpp
@@ -486,3 +486,43 @@
         CHECK(fixture.target.lastRequest().ends_with("\r\n\r\nbody"));
     }
 }
+
+// Guards against text of others that becomes a field, or a request, that nobody sent.
+TEST_CASE("HTTP transport: a request whose target or fields would be read as something else is not sent")
+{
+    std::vector<WireRequest> unsendable;
+    const auto add = [&unsendable](const auto &change) { change(unsendable.emplace_back(request("a"))); };
+    for (const char *text : {"/x y", "/x\r\nX-Injected: 1", "/x HTTP/1.1\r\n\r\n", "/x\t", "/x\x7f", ""}) {
+        add([text](WireRequest &wire) { wire.path = text; });
+    }
+    for (const std::string &text : {std::string("a\r\nX-Injected: 1"),
+                                    std::string("a\r\n\r\nGET /y HTTP/1.1\r\n\r\n"),
+                                    std::string("a\n"),
+                                    std::string("a\rb"),
+                                    std::string("a\0b", 3),
+                                    std::string("a\x7f"),
+                                    std::string(" a"),
+                                    std::string("a\t")}) {
+        add([&text](WireRequest &wire) { wire.headers.push_back({"X-A", text}); });
+        add([&text](WireRequest &wire) { wire.authorization = text; });
+    }
+    for (const char *text : {"", "X-A: b\r\nX-B", "X A", "X-A:", "X-\xc3\xa9", "X\x01"}) {
+        add([text](WireRequest &wire) { wire.headers.push_back({text, "b"}); });
+    }
+    for (const char *text : {"GET /y HTTP/1.1\r\n\r\nGET", "G T", "GET\t"}) {
+        add([text](WireRequest &wire) { wire.method = text; });
+    }
+    TransportFixture fixture(29'480, {httpResponse("a", "")});
+    for (const WireRequest &wire : unsendable) {
+        INFO(wire.method << " " << wire.path << " " << wire.headers.back().name << ": " << wire.headers.back().value);
+        const WireReply reply = fixture.exchange(wire);
+        CHECK(reply.error == TransportError::UnsendableRequest);
+        CHECK_FALSE(reply.bytesSent);
+    }
+    WireRequest sound = request("a");
+    sound.path = "/x?a=b&c=%41+\xc3\xa9\"<>\\^`{|}";
+    sound.headers.push_back({"X-A", "a\tb c\"\\,;=\xc3\xa9"});
+    sound.headers.push_back({"x!#$%&'*+-.^_`|~9", ""});
+    CHECK_FALSE(fixture.exchange(sound).error);
+    CHECK(fixture.target.lastRequest().starts_with("POST " + sound.path + " HTTP/1.1\r\nHost: h\r\nid: a\r\nX-A: a\tb c"));
+}
