--- a/src/core/Journal.cpp
+++ b/src/core/Journal.cpp
@@ -3,6 +3,8 @@
  */
 #include "core/Journal.h"
 
+#include "core/Text.h"
+
 #include <cassert>
 #include <fmt/format.h>
 
@@ -51,8 +53,8 @@
 void Journal::record(LogCategory category, std::string_view requestId, std::string_view text)
 {
     const auto elapsed = std::chrono::duration<double, std::milli>(clock_.now() - start_).count();
-    std::string line = requestId.empty() ? fmt::format("{}: {} at={:.3f}ms", toString(category), text, elapsed)
-                                         : fmt::format("{}: {} request={} at={:.3f}ms", toString(category), text, requestId, elapsed);
+    const std::string request = requestId.empty() ? "" : fmt::format(" request={}", toLogValue(requestId));
+    std::string line = escapeForLog(fmt::format("{}: {}{} at={:.3f}ms", toString(category), text, request, elapsed));
     if (sink_) {
         sink_(line);
     }
--- a/src/core/Journal.h
+++ b/src/core/Journal.h
@@ -34,7 +34,7 @@
 
     /// \brief Records one decision.
     /// \param requestId empty if the decision concerns no single request.
-    /// \param text message with key=value fields.
+    /// \param text message with key=value fields, whose values are our own words or from toLogValue().
     void record(LogCategory category, std::string_view requestId, std::string_view text);
 
     /// \returns the kept lines of the request \p requestId, oldest first.
--- a/src/core/Text.cpp
+++ b/src/core/Text.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace magnoliaspan {
 
@@ -23,6 +24,11 @@
     return byte < firstPrintable || byte == del;
 }
 
+bool isPrintable(char character)
+{
+    return !isControl(character) && static_cast<unsigned char>(character) < 0x80U;
+}
+
 bool isBlank(char character)
 {
     return character == ' ' || character == '\t';
@@ -65,4 +71,41 @@
     return std::none_of(text.begin(), text.end(), [](char character) { return isControl(character) && character != '\t'; });
 }
 
+std::string escapeForLog(std::string text)
+{
+    if (std::all_of(text.begin(), text.end(), isPrintable)) {
+        return text;
+    }
+    std::string escaped;
+    for (const char byte : text) {
+        if (isPrintable(byte)) {
+            escaped += byte;
+            continue;
+        }
+        escaped += fmt::format("\\x{:02x}", static_cast<unsigned char>(byte));
+    }
+    return escaped;
+}
+
+std::string quoteForLog(std::string_view value)
+{
+    std::string escaped;
+    for (const char character : value) {
+        if (character == '"' || character == '\\') {
+            escaped += '\\';
+        }
+        escaped += character;
+    }
+    return fmt::format("\"{}\"", escapeForLog(std::move(escaped)));
+}
+
+std::string toLogValue(std::string_view value)
+{
+    constexpr std::string_view special = " \"\\";
+    const bool isPlain = std::all_of(value.begin(), value.end(), [special](char character) {
+        return isPrintable(character) && special.find(character) == std::string_view::npos;
+    });
+    return isPlain ? std::string(value) : quoteForLog(value);
+}
+
 } // namespace magnoliaspan
--- a/src/core/Text.h
+++ b/src/core/Text.h
@@ -36,4 +36,14 @@
 /// characters but tabs, and neither begins nor ends with white space.
 bool isFieldValue(std::string_view text);
 
+/// \returns \p text as a part of one log line: all bytes but printable ASCII characters are replaced by \xNN.
+std::string escapeForLog(std::string text);
+
+/// \returns \p value in quotes, with quotes, backslashes and all bytes but printable ASCII characters escaped.
+std::string quoteForLog(std::string_view value);
+
+/// \returns \p value, which anybody may have written, as the value of a log field: as by quoteForLog() if it holds a blank or one of
+/// the characters that are escaped there, as it is otherwise.
+std::string toLogValue(std::string_view value);
+
 } // namespace magnoliaspan
--- a/src/discovery/Registry.cpp
+++ b/src/discovery/Registry.cpp
@@ -3,6 +3,7 @@
  */
 #include "discovery/Registry.h"
 
+#include "core/Text.h"
 #include "core/Visitor.h"
 
 #include <fmt/format.h>
@@ -32,10 +33,11 @@
                        [this, keepLapsed](const TargetRemoved &removed) { removeTarget(removed.id, keepLapsed); },
                        [&](const ZoneEvacuation &zone) { applyEvacuation(zone, isList); },
                        [this](const DecodeFailure &failure) {
-                           journal_.record(
-                               LogCategory::Config,
-                               "",
-                               fmt::format("value skipped, it cannot be decoded key={} reason=\"{}\"", failure.key, failure.reason));
+                           journal_.record(LogCategory::Config,
+                                           "",
+                                           fmt::format("value skipped, it cannot be decoded key={} reason=\"{}\"",
+                                                       toLogValue(failure.key),
+                                                       failure.reason));
                        },
                    },
                    change);
@@ -110,7 +112,7 @@
         journal_.record(LogCategory::Member,
                         "",
                         fmt::format("outdated target entry ignored target={} started={} stage={}",
-                                    entry.id,
+                                    toLogValue(entry.id),
                                     entry.startedAt,
                                     entry.stage == TargetStage::Ready ? "ready" : "draining"));
         return;
@@ -126,7 +128,8 @@
         if (known == entry) {
             found->second.writeNumber = entry.writeNumber;
             if (wasLapsed) {
-                journal_.record(LogCategory::Member, "", fmt::format("lapsed target entry published again target={}", entry.id));
+                journal_.record(
+                    LogCategory::Member, "", fmt::format("lapsed target entry published again target={}", toLogValue(entry.id)));
             }
             return;
         }
@@ -136,10 +139,10 @@
     journal_.record(LogCategory::Member,
                     "",
                     fmt::format("target entry applied target={} service={} address={} zone={} stage={} cold_left_ms={} started={}",
-                                entry.id,
-                                entry.service,
+                                toLogValue(entry.id),
+                                toLogValue(entry.service),
                                 entry.address.toString(),
-                                entry.zone,
+                                toLogValue(entry.zone),
                                 entry.stage == TargetStage::Ready ? "ready" : "draining",
                                 std::chrono::duration_cast<std::chrono::milliseconds>(entry.coldLeft).count(),
                                 entry.startedAt));
@@ -156,14 +159,15 @@
     if (keepLapsed) {
         if (lapsedTargets_.try_emplace(id, lastLapse_ + 1).second) {
             ++lastLapse_;
-            journal_.record(LogCategory::Member, "", fmt::format("target entry lapsed, kept during the grace period target={}", id));
+            journal_.record(
+                LogCategory::Member, "", fmt::format("target entry lapsed, kept during the grace period target={}", toLogValue(id)));
         }
         return;
     }
     lapsedTargets_.erase(id);
     departedTargets_.record(targets_.at(id), *era_);
     targets_.erase(id);
-    journal_.record(LogCategory::Member, "", fmt::format("target entry removed target={}", id));
+    journal_.record(LogCategory::Member, "", fmt::format("target entry removed target={}", toLogValue(id)));
     if (listener_.targetRemoved) {
         listener_.targetRemoved(id);
     }
@@ -202,7 +206,7 @@
             journal_.record(LogCategory::Zone,
                             "",
                             fmt::format("restored source contradicts what is known of a zone, kept for now zone={} evacuated={}",
-                                        zone.zone,
+                                        toLogValue(zone.zone),
                                         isEvacuated(zone.zone)));
         }
         return;
@@ -222,7 +226,8 @@
     } else {
         endedEvacuations_.insert(zone);
     }
-    journal_.record(LogCategory::Zone, "", fmt::format("zone {} zone={}", evacuated ? "evacuated" : "evacuation cancelled", zone));
+    journal_.record(
+        LogCategory::Zone, "", fmt::format("zone {} zone={}", evacuated ? "evacuated" : "evacuation cancelled", toLogValue(zone)));
     if (listener_.zoneChanged) {
         listener_.zoneChanged(zone, evacuated);
     }
--- a/src/forward/ForwardOperation.cpp
+++ b/src/forward/ForwardOperation.cpp
@@ -3,6 +3,7 @@
  */
 #include "forward/ForwardOperation.h"
 
+#include "core/Text.h"
 #include "forward/GreatestRecords.h"
 
 #include <algorithm>
@@ -435,21 +436,20 @@
     environment_.journal.record(
         LogCategory::Plan,
         context_->request.id,
-        fmt::format(
-            "request ended route={} table={} status={} outcome=\"{}\" services={} sends={} max_targets={} repeatable={} missing=\"{}\" "
-            "took_ms={:.1f} goal_left_ms={:.1f} deadline_left_ms={:.1f}",
-            context_->route->name,
-            context_->table->version(),
-            reply.status,
-            outcome,
-            calls_.size(),
-            attempts,
-            context_->route->maxTargets,
-            context_->route->repeatability == Repeatability::Idempotent,
-            describeMissing(),
-            ms(now - startedAt_),
-            ms(context_->goal - now),
-            ms(context_->deadline - now)));
+        fmt::format("request ended route={} table={} status={} outcome=\"{}\" services={} sends={} max_targets={} repeatable={} missing={} "
+                    "took_ms={:.1f} goal_left_ms={:.1f} deadline_left_ms={:.1f}",
+                    toLogValue(context_->route->name),
+                    context_->table->version(),
+                    reply.status,
+                    outcome,
+                    calls_.size(),
+                    attempts,
+                    context_->route->maxTargets,
+                    context_->route->repeatability == Repeatability::Idempotent,
+                    quoteForLog(describeMissing()),
+                    ms(now - startedAt_),
+                    ms(context_->goal - now),
+                    ms(context_->deadline - now)));
     environment_.counters.observe(
         fmt::format("magnoliaspan_request_seconds{{route=\"{}\",status=\"{}\"}}", context_->route->name, reply.status), now - startedAt_);
     for (ServiceCall &call : calls_) {
--- a/src/forward/ForwardService.cpp
+++ b/src/forward/ForwardService.cpp
@@ -3,6 +3,7 @@
  */
 #include "forward/ForwardService.h"
 
+#include "core/Text.h"
 #include "core/Visitor.h"
 
 #include <algorithm>
@@ -62,8 +63,8 @@
                                 fmt::format("request refused status={} cause=\"{}\" host={} path={} table={}",
                                             status,
                                             cause,
-                                            request.host,
-                                            pathOf(request.target),
+                                            toLogValue(request.host),
+                                            toLogValue(pathOf(request.target)),
                                             version));
     environment_.counters.add(fmt::format("magnoliaspan_refusals_total{{cause=\"{}\"}}", cause));
     return refusalReply(status, cause, retryAfter);
@@ -111,7 +112,8 @@
     try {
         return admit(std::move(incoming), handler);
     } catch (const std::exception &error) {
-        environment_.journal.record(LogCategory::Admit, "", fmt::format("request failed with an exception reason=\"{}\"", error.what()));
+        environment_.journal.record(
+            LogCategory::Admit, "", fmt::format("request failed with an exception reason={}", quoteForLog(error.what())));
         environment_.counters.add("magnoliaspan_request_exceptions_total");
         handler(refusalReply(statusInternalError, "internal error", std::nullopt));
         return {};
--- a/src/forward/Replica.cpp
+++ b/src/forward/Replica.cpp
@@ -3,6 +3,7 @@
  */
 #include "forward/Replica.h"
 
+#include "core/Text.h"
 #include "transport/TransportError.h"
 
 #include <algorithm>
@@ -357,7 +358,7 @@
         environment_.journal.record(LogCategory::Target,
                                     "",
                                     fmt::format("connect failed target={} address={} error=\"{}\" in_a_row={} waiting={}",
-                                                entry_.id,
+                                                toLogValue(entry_.id),
                                                 entry_.address.toString(),
                                                 error.message(),
                                                 health_.consecutiveConnectFailures(),
@@ -489,7 +490,7 @@
             LogCategory::Target,
             // An attempt that nobody waits for has no request any more.
             attempt.options.request == nullptr ? "" : attempt.options.request->id,
-            fmt::format("malformed response, expected HTTP/1.1 target={} address={}", entry_.id, entry_.address.toString()));
+            fmt::format("malformed response, expected HTTP/1.1 target={} address={}", toLogValue(entry_.id), entry_.address.toString()));
     }
     if (reply.error) {
         result.outcome = reply.bytesSent ? AttemptOutcome::Lost : AttemptOutcome::NeverSent;
@@ -505,7 +506,7 @@
         environment_.journal.record(
             LogCategory::Target,
             "",
-            fmt::format("address now belongs to another target target={} address={}", entry_.id, entry_.address.toString()));
+            fmt::format("address now belongs to another target target={} address={}", toLogValue(entry_.id), entry_.address.toString()));
         return;
     }
     applyRequestLimit(attempt, result.response);
@@ -532,10 +533,11 @@
         return;
     }
     const auto limit = requestLimit_.perSecond();
-    environment_.journal.record(LogCategory::Target,
-                                "",
-                                limit ? fmt::format("target limits the requests of all hosts target={} per_second={}", entry_.id, *limit)
-                                      : fmt::format("target no longer limits requests target={}", entry_.id));
+    environment_.journal.record(
+        LogCategory::Target,
+        "",
+        limit ? fmt::format("target limits the requests of all hosts target={} per_second={}", toLogValue(entry_.id), *limit)
+              : fmt::format("target no longer limits requests target={}", toLogValue(entry_.id)));
 }
 
 void Replica::applyStatements(const TargetResponse &response)
@@ -546,7 +548,7 @@
         environment_.journal.record(LogCategory::Target,
                                     "",
                                     fmt::format("target says that it leaves target={} status={} published={} queued={}",
-                                                entry_.id,
+                                                toLogValue(entry_.id),
                                                 response.status,
                                                 entry_.stage == TargetStage::Ready ? "ready" : "draining",
                                                 queue_.size()));
@@ -559,10 +561,11 @@
 {
     if (!pause.malformed.empty()) {
         environment_.counters.add("magnoliaspan_target_pauses_malformed_total");
-        environment_.journal.record(
-            LogCategory::Target,
-            "",
-            fmt::format("pause ignored, expected seconds as a number target={} value=\"{}\"", entry_.id, pause.malformed));
+        environment_.journal.record(LogCategory::Target,
+                                    "",
+                                    fmt::format("pause ignored, expected seconds as a number target={} value={}",
+                                                toLogValue(entry_.id),
+                                                quoteForLog(pause.malformed)));
     }
     if (pause.kind != RequestedPause::Kind::Stated || pause.duration == Duration::zero()) {
         return;
@@ -579,7 +582,7 @@
     environment_.journal.record(LogCategory::Target,
                                 "",
                                 fmt::format("target asks for a pause target={} pause_ms={} until_ms={} queued={}",
-                                            entry_.id,
+                                            toLogValue(entry_.id),
                                             std::chrono::duration_cast<std::chrono::milliseconds>(pause.duration).count(),
                                             std::chrono::duration_cast<std::chrono::milliseconds>(until.time_since_epoch()).count(),
                                             queue_.size()));
@@ -612,9 +615,10 @@
     connectBackoffUntil_ = environment_.clock.now() + std::min(maxConnectBackoff, minConnectBackoff * (1U << doublings));
     environment_.counters.add("magnoliaspan_target_turn_aways_total");
     if (consecutiveRejections_ == 1) {
-        environment_.journal.record(LogCategory::Target,
-                                    "",
-                                    fmt::format("target rejects further connections target={} own={}", entry_.id, connections_.size() - 1));
+        environment_.journal.record(
+            LogCategory::Target,
+            "",
+            fmt::format("target rejects further connections target={} own={}", toLogValue(entry_.id), connections_.size() - 1));
     }
 }
 
--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -3,6 +3,8 @@
  */
 #include "forward/ShardCall.h"
 
+#include "core/Text.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -399,8 +401,8 @@
                                 context_->request.id,
                                 fmt::format("{} service={} target={} send={} cause=\"{}\" expected_ms={} waited_ms={} table={}",
                                             what,
-                                            service_,
-                                            attempt.replica->entry().id,
+                                            toLogValue(service_),
+                                            toLogValue(attempt.replica->entry().id),
                                             attempt.number,
                                             detail,
                                             milliseconds(attempt.expectedLatency),
--- a/src/net/LogWriter.cpp
+++ b/src/net/LogWriter.cpp
@@ -3,6 +3,8 @@
  */
 #include "net/LogWriter.h"
 
+#include "core/Text.h"
+
 #include <algorithm>
 #include <fcntl.h>
 #include <fmt/format.h>
@@ -70,7 +72,9 @@
     }
     spdlog::memory_buf_t line;
     formatter_->format(message, line);
-    buffer_.append(line.data(), line.size());
+    constexpr char lineEnd = '\n';
+    buffer_ += escapeForLog(std::string(line.data(), line.size() - 1));
+    buffer_ += lineEnd;
     scheduleWrite();
 }
 
--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -12,6 +12,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 #include <memory>
+#include <nlohmann/json.hpp>
 
 using namespace magnoliaspan;
 using namespace magnoliaspan::testing;
@@ -243,6 +244,23 @@
     unsigned lastRequest_ = 0;
 };
 
+/// \returns \p line without what stands in quotes, in which a backslash escapes the character behind it.
+std::string withoutQuotedValues(std::string_view line)
+{
+    std::string rest;
+    bool isQuoted = false;
+    for (std::size_t index = 0; index < line.size(); ++index) {
+        if (isQuoted && line[index] == '\\') {
+            ++index;
+        } else if (line[index] == '"') {
+            isQuoted = !isQuoted;
+        } else if (!isQuoted) {
+            rest += line[index];
+        }
+    }
+    return rest;
+}
+
 // Of names that contain characters with a meaning in a query, ones that cannot stand there, and harmless ones.
 const std::vector<std::string> oddNames = {"a&b",
                                            "a+b",
@@ -563,3 +581,42 @@
         }
     }
 }
+
+// Guards against a line of the log that somebody else wrote, and against fields of a line that were part of a name.
+TEST_CASE("store: names and values of entries stay values of log fields")
+{
+    const std::vector<std::string> names = {"a\nroute: request ended",
+                                            "a\r\nroute: request ended",
+                                            "a\x1b[2J",
+                                            "a\xc2\x85route: request ended",
+                                            "a\xe2\x80\xa8route: request ended",
+                                            "a forged=1",
+                                            "a\" forged=1 b=\"",
+                                            "a\\"};
+    for (const std::string &name : names) {
+        INFO(name);
+        OddEntryFixture fixture;
+        fixture.restartHosts();
+        fixture.run(seconds(3));
+        fixture.store.put("servers/bad" + name, "{}");
+        fixture.store.put("op/evacuate/" + name, "{}");
+        fixture.addTarget(name);
+        std::string entry = entryOf({"10.0.3.1", 1});
+        const std::string text = nlohmann::json(name).dump();
+        fixture.store.put("servers/zone", entry.replace(entry.find("\"z\""), 3, text));
+        fixture.store.put("servers/service", entry.replace(entry.find("\"s\""), 3, text));
+        fixture.run(seconds(2));
+        fixture.store.remove("servers/" + name);
+        fixture.store.remove("op/evacuate/" + name);
+        fixture.run(seconds(2));
+        for (const auto &host : fixture.hosts) {
+            fixture.call(*host, 2);
+            CHECK(host->hasLogged("zone evacuated zone="));
+            CHECK(host->hasLogged("key=\"servers/bada"));
+            for (const std::string &line : host->log) {
+                CHECK(std::all_of(line.begin(), line.end(), [](char character) { return character >= ' ' && character <= '~'; }));
+                CHECK(withoutQuotedValues(line).find("forged=1") == std::string::npos);
+            }
+        }
+    }
+}
