--- a/src/core/Counters.cpp
+++ b/src/core/Counters.cpp
@@ -40,6 +40,18 @@
 
 } // namespace
 
+std::string toLabelValue(std::string_view text)
+{
+    std::string value;
+    for (const char character : text) {
+        if (character == '"' || character == '\\') {
+            value += '\\';
+        }
+        value += character == '\n' ? std::string_view("\\n") : std::string_view(&character, 1);
+    }
+    return value;
+}
+
 class Counters::Summary
 {
 public:
--- a/src/core/Counters.h
+++ b/src/core/Counters.h
@@ -13,6 +13,9 @@
 
 namespace magnoliaspan {
 
+/// \returns \p text, which anybody may have written, as the value of a label between its quotes.
+std::string toLabelValue(std::string_view text);
+
 /// \brief Registry of named counters and latency distributions.
 class Counters
 {
@@ -20,7 +23,8 @@
     Counters();
     ~Counters();
 
-    /// \brief Adds \p amount to the counter \p name; labels are part of the name, as in a{b="c"}.
+    /// \brief Adds \p amount to the counter \p name; labels are part of the name, as in a{b="c"}, their values our own words or from
+    /// toLabelValue().
     void add(std::string_view name, std::uint64_t amount = 1);
 
     /// \returns the value of the counter \p name, zero if nothing was added to it.
--- a/src/forward/ForwardOperation.cpp
+++ b/src/forward/ForwardOperation.cpp
@@ -451,7 +451,8 @@
                     ms(context_->goal - now),
                     ms(context_->deadline - now)));
     environment_.counters.observe(
-        fmt::format("magnoliaspan_request_seconds{{route=\"{}\",status=\"{}\"}}", context_->route->name, reply.status), now - startedAt_);
+        fmt::format("magnoliaspan_request_seconds{{route=\"{}\",status=\"{}\"}}", toLabelValue(context_->route->name), reply.status),
+        now - startedAt_);
     for (ServiceCall &call : calls_) {
         call.shardCall->cancel(false);
     }
--- a/src/forward/ShardCall.cpp
+++ b/src/forward/ShardCall.cpp
@@ -274,7 +274,8 @@
         sentAttempts_ = std::max(sentAttempts_, 1U);
     }
     if (result.outcome == AttemptOutcome::Answered && isSuccess(result.response)) {
-        environment_.counters.observe(fmt::format("magnoliaspan_send_seconds{{route=\"{}\"}}", context_->route->name), result.elapsed);
+        environment_.counters.observe(fmt::format("magnoliaspan_send_seconds{{route=\"{}\"}}", toLabelValue(context_->route->name)),
+                                      result.elapsed);
         replicas_.recordLatency(context_->route->name, attempt.replica->limits().otherRegion, result.elapsed);
         finish({true, std::move(result.response), Verdict::Ran, ""});
         return;
--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -40,12 +40,14 @@
                        address.toString());
 }
 
-std::string configurationOf(int version)
+/// \returns a configuration with one route, called \p route, to the service "s".
+std::string configurationOf(int version, const std::string &route = "r")
 {
-    return fmt::format(R"({{"version":{},"routes":[{{"name":"r","host":"h","prefix":"/r/","type":"non_idempotent","timeout_ms":2000,)"
+    return fmt::format(R"({{"version":{},"routes":[{{"name":{},"host":"h","prefix":"/r/","type":"non_idempotent","timeout_ms":2000,)"
                        R"("latency_goal_ms":500,"priority":1,"service":"s","max_attempts":2,"allowed_regions":[]}}],)"
                        R"("services":[{{"name":"s","max_connections":60,"warmup_s":0,"warmup_per_s":0}}]}})",
-                       version);
+                       version,
+                       nlohmann::json(route).dump());
 }
 
 /// A target that runs requests for its own identifier only.
@@ -620,3 +622,19 @@
         }
     }
 }
+
+// Guards against metrics that somebody else wrote, and against an exposition that no scraper can read.
+TEST_CASE("store: the name of a route stays the value of a label")
+{
+    OddEntryFixture fixture;
+    fixture.store.put("op/config", configurationOf(2, "a\"} 1\nforged{b=\"c\\"));
+    fixture.restartHosts();
+    fixture.run(seconds(3));
+    fixture.checkServing();
+    for (const auto &host : fixture.hosts) {
+        const std::string metrics = host->host.metrics();
+        CHECK(metrics.find("\nforged") == std::string::npos);
+        CHECK(metrics.find(R"(magnoliaspan_request_seconds_count{route="a\"} 1\nforged{b=\"c\\",status="200"} 10)") != std::string::npos);
+        CHECK(metrics.find(R"(magnoliaspan_send_seconds_count{route="a\"} 1\nforged{b=\"c\\"} 10)") != std::string::npos);
+    }
+}
