--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -15,6 +15,8 @@
 // longest delay is well below the shortest limits on configuration and draining delay, three seconds.
 constexpr Duration batchDelay = std::chrono::milliseconds(300);
 constexpr unsigned maxBatchDelayFactor = 3;
+// Less than any call waits for changes, unless it was asked not to wait.
+constexpr Duration minWatchTime = std::chrono::milliseconds(50);
 constexpr Duration firstBackoff = std::chrono::milliseconds(200);
 // Limits the time until a source that is available again is noticed; five seconds after its return the limits on
 // configuration delay must hold again.
@@ -201,6 +203,7 @@
 {
     // A source in a newer era may have nothing after a revision of an older one, so it is not asked to wait for that.
     const Duration wait = std::exchange(isWaitSkipped_, false) ? Duration::zero() : watchTime_;
+    watchStart_ = clock_.now();
     source_.watch(position_, wait, [this, token = std::weak_ptr<int>(lifetimeToken_)](const DiscoveryReadResult &result) {
         if (!token.expired()) {
             onWatchResult(result);
@@ -265,6 +268,12 @@
         scheduleNextCall(nextBackoff());
         return;
     }
+    const bool isIdle = position_ == before && clock_.now() - watchStart_ < minWatchTime;
+    idleWatches_ = isIdle ? idleWatches_ + 1 : 0;
+    if (idleWatches_ > 1) {
+        scheduleNextCall(batchDelay);
+        return;
+    }
     if (result.changes.empty()) {
         batchDelayFactor_ = 0;
         startNextCall();
--- a/src/discovery/DiscoveryController.h
+++ b/src/discovery/DiscoveryController.h
@@ -77,6 +77,8 @@
     bool hasRead_ = false;
     bool hasReadPart_ = false;                 // Whether a full read broke off.
     bool isWaitSkipped_ = false;               // Whether the next watch must not wait for changes.
+    TimePoint watchStart_{};                   // Of the running or last watch.
+    unsigned idleWatches_ = 0;                 // Consecutive watches that neither waited nor moved on.
     unsigned lostHistories_ = 0;               // Consecutive watches that were answered by a lost history.
     unsigned failures_ = 0;                    // Consecutive failed calls.
     std::optional<TimePoint> lapseGraceStart_; // Start of the last grace period for lapsed entries.
--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -638,3 +638,27 @@
         CHECK(metrics.find(R"(magnoliaspan_send_seconds_count{route="a\"} 1\nforged{b=\"c\\"} 10)") != std::string::npos);
     }
 }
+
+// Guards against calls without a pause for the same events, or for none.
+TEST_CASE("store: a watch that neither waits nor moves on is repeated with a pause")
+{
+    for (const char *key : {"n/other", "servers/i-1", "op/config"}) {
+        INFO(key);
+        OddEntryFixture fixture;
+        fixture.restartHosts();
+        fixture.run(seconds(3));
+        fixture.store.repeatsEvents = true;
+        fixture.store.put(key, "{}");
+        fixture.run(seconds(2));
+        const unsigned before = fixture.store.calls;
+        fixture.run(seconds(10));
+        // Two hosts, each with a call every 300 ms.
+        CHECK(fixture.store.calls - before <= 2 * 34);
+        fixture.store.repeatsEvents = false;
+        fixture.store.put("op/config", configurationOf(2));
+        fixture.run(seconds(2));
+        for (const auto &host : fixture.hosts) {
+            CHECK(fixture.versionOn(*host) == "2");
+        }
+    }
+}
