--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -662,3 +662,69 @@
         }
     }
 }
+
+// Each host that cannot reach the store has all of the state from the other one, as that host has it.
+TEST_CASE("store: odd entries are passed on to another host without harm")
+{
+    OddEntryFixture fixture;
+    for (const std::string &name : oddNames) {
+        fixture.store.put("servers/bad" + name.substr(0, 180), "{}");
+        fixture.store.put("n" + name, "{}");
+        fixture.store.put("op/evacuate/" + name.substr(0, 180), "{}");
+    }
+    const IdentifiedTarget &target = fixture.addTarget("a\r\nX-Injected: 1");
+    fixture.store.putElement("servers/i-15", "7");
+    for (const MalformedElement &element : malformedElements) {
+        fixture.store.putElement(element.key, element.text);
+    }
+    fixture.restartHosts();
+    fixture.run(seconds(3));
+    fixture.network.link("host1", "store").cut = true;
+    SECTION("a host that runs") { }
+    SECTION("a host that starts")
+    {
+        fixture.restartHost(1);
+    }
+    fixture.run(seconds(10));
+    fixture.checkServing();
+    fixture.store.put("op/config", configurationOf(2));
+    fixture.store.put("servers/later\r\n&", "{}");
+    fixture.store.putElement("servers/later\xff", "{\"key\":\"servers/later\xff\",\"value\":\"e30=\",\"rev\":$REV}");
+    fixture.addTarget("i-3");
+    fixture.store.remove("servers/i-2");
+    fixture.store.remove("n" + oddNames.front());
+    fixture.run(seconds(10));
+    for (const auto &host : fixture.hosts) {
+        CHECK(fixture.versionOn(*host) == "2");
+        CHECK(host->hasLogged("target=i-3"));
+    }
+    CHECK(fixture.hosts[0]->hasLogged("target entry removed target=i-2"));
+    // What is missing while the store is lost may only have lapsed.
+    CHECK(fixture.hosts[1]->hasLogged("target entry lapsed, kept during the grace period target=i-2"));
+    fixture.checkServing();
+    CHECK(target.requests.empty());
+}
+
+TEST_CASE("store: a list that is read again after a lost history is read past odd entries")
+{
+    for (const std::string &name : oddNames) {
+        INFO(name);
+        OddEntryFixture fixture;
+        fixture.restartHosts();
+        fixture.run(seconds(3));
+        fixture.store.pageItems = 1;
+        fixture.store.put("op/" + name, "{}");
+        fixture.store.put("servers/" + name, "{}");
+        fixture.run(seconds(2));
+        fixture.store.calls = 0;
+        fixture.store.dropHistory();
+        fixture.run(seconds(4));
+        CHECK(fixture.store.calls < 2 * (5 + 5));
+        CHECK(fixture.store.malformedCalls == 0);
+        fixture.checkServing();
+        for (const auto &host : fixture.hosts) {
+            CHECK_FALSE(host->hasLogged("discovery lost"));
+            CHECK_FALSE(host->hasLogged("entry removed"));
+        }
+    }
+}
