--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -13,6 +13,7 @@
 
 #include <cmath>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 #include <random>
 
 using namespace magnoliaspan;
@@ -141,6 +142,32 @@
     CHECK(std::get<DecodeFailure>(*change).reason.find("routes[0]") != std::string::npos);
 }
 
+TEST_CASE("platform: an entry with a field missing or of another type names no target")
+{
+    const std::vector<nlohmann::json> others = {nullptr, true, 7, -7.5, "text", nlohmann::json::array(), nlohmann::json::object()};
+    const nlohmann::json sound = nlohmann::json::parse(target);
+    for (const auto &[name, value] : sound.items()) {
+        INFO(name);
+        // It stands beside the fields of an entry on the users' pages, not among them.
+        if (name != "born") {
+            nlohmann::json entry = sound;
+            entry.erase(name);
+            CHECK(std::holds_alternative<DecodeFailure>(*platform::decodeItem("servers/i-1", entry.dump())));
+        }
+        for (const nlohmann::json &other : others) {
+            const bool isSameType = other.type() == value.type() || (other.is_number_integer() && value.is_number_integer());
+            if (isSameType && (name != "address" && name != "state")) {
+                continue;
+            }
+            INFO(other.dump());
+            nlohmann::json entry = sound;
+            entry[name] = other;
+            CHECK(std::holds_alternative<DecodeFailure>(*platform::decodeItem("servers/i-1", entry.dump())));
+        }
+    }
+    CHECK(std::holds_alternative<TargetPublished>(*platform::decodeItem("servers/i-1", sound.dump())));
+}
+
 // Guards against a value of the store, or of a host that passes it on, whose padding is counted before it is checked.
 TEST_CASE("platform: a value that is not base64 is a decode failure")
 {
