Refuse addresses that hold a NUL

What targets would see: an entry of another writer with the address "10.0.0.9" NUL ".example:80" named a target at 10.0.0.9:80.

Cause: the library that checks the address reads it up to the first NUL, and the whole text is kept and logged.

Change: an address that holds a NUL is none.

Measured: "platform: an entry whose address is no IP address and port ..." failed before, 2 checks of 16; passes now.

--- a/src/core/Endpoint.cpp
+++ b/src/core/Endpoint.cpp
@@ -17,7 +17,9 @@
     Endpoint endpoint;
     endpoint.address = std::string(text.substr(0, colon));
     in_addr parsed{};
-    if (inet_pton(AF_INET, endpoint.address.c_str(), &parsed) != 1) {
+    // The library reads up to the first NUL.
+    const bool hasNul = endpoint.address.find('\0') != std::string::npos;
+    if (hasNul || inet_pton(AF_INET, endpoint.address.c_str(), &parsed) != 1) {
         return std::nullopt;
     }
     const std::string_view digits = text.substr(colon + 1);
--- a/tests/unit/PlatformTest.cpp
+++ b/tests/unit/PlatformTest.cpp
@@ -142,6 +142,32 @@
     CHECK(std::get<DecodeFailure>(*change).reason.find("routes[0]") != std::string::npos);
 }
 
+TEST_CASE("platform: an entry whose address is no IP address and port names no target")
+{
+    const std::vector<std::string> addresses = {"",
+                                                ":",
+                                                "10.0.0.9",
+                                                "10.0.0.9:",
+                                                "10.0.0.9:0",
+                                                "10.0.0.9:65536",
+                                                "10.0.0.9:-1",
+                                                "10.0.0.9:80 ",
+                                                " 10.0.0.9:80",
+                                                "10.0.0.9\r\n:80",
+                                                std::string("10.0.0.9\0:80", 12),
+                                                std::string("10.0.0.9\0.example:80", 20),
+                                                "010.0.0.9:80",
+                                                "10.0.9:80",
+                                                "[::1]:80",
+                                                "host.example:80"};
+    for (const std::string &address : addresses) {
+        INFO(address);
+        nlohmann::json entry = nlohmann::json::parse(target);
+        entry["address"] = address;
+        CHECK(std::holds_alternative<DecodeFailure>(*platform::decodeItem("servers/i-1", entry.dump())));
+    }
+}
+
 TEST_CASE("platform: an entry with a field missing or of another type names no target")
 {
     const std::vector<nlohmann::json> others = {nullptr, true, 7, -7.5, "text", nlohmann::json::array(), nlohmann::json::object()};
