--- a/src/discovery/DiscoveryController.cpp
+++ b/src/discovery/DiscoveryController.cpp
@@ -271,6 +271,7 @@
     const bool isIdle = position_ == before && clock_.now() - watchStart_ < minWatchTime;
     idleWatches_ = isIdle ? idleWatches_ + 1 : 0;
     if (idleWatches_ > 1) {
+        // The next response would be the same one.
         scheduleNextCall(batchDelay);
         return;
     }
--- a/src/discovery/DiscoverySource.h
+++ b/src/discovery/DiscoverySource.h
@@ -67,7 +67,7 @@
     Duration age{};                         ///< Time since this state was last confirmed to be the published one.
     bool mayHaveMore = false;               ///< More changes may wait already: the source limits the size of a response.
     bool mostlyOutdated = false;            ///< Much of the response was replaced by its own later part; a full read is shorter.
-    bool brokenOff = false;                 ///< A full read that failed after a part of the state, which the changes are.
+    bool brokenOff = false;                 ///< Set with error: a full read that failed after a part of the state, which the changes hold.
 };
 
 /// Required freshness of a full read.
--- a/tests/unit/OddEntryTest.cpp
+++ b/tests/unit/OddEntryTest.cpp
@@ -506,6 +506,21 @@
     }
 }
 
+TEST_CASE("store: the key of an element that cannot be parsed does not decide whether a list moves on")
+{
+    for (const std::size_t pageItems : {2, 500}) {
+        OddEntryFixture fixture;
+        fixture.store.putElement("op/x", R"({"key":"a","value":nothing,"rev":$REV})");
+        fixture.store.pageItems = pageItems;
+        fixture.restartHosts();
+        fixture.run(seconds(8));
+        for (const auto &host : fixture.hosts) {
+            CHECK_FALSE(host->hasLogged("discovery lost"));
+        }
+        fixture.checkServing();
+    }
+}
+
 TEST_CASE("store: an event that cannot be parsed or names nothing hides no other one, nor a later one")
 {
     std::vector<MalformedElement> elements = malformedElements;
